--- /dev/null
+++ b/cmd/magnoliaworks/check.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"magnoliaworks/core/jsonc"
+	"magnoliaworks/core/plan"
+	"magnoliaworks/core/setup"
+	"magnoliaworks/core/shell"
+)
+
+type checkCommand struct {
+	Args struct {
+		File string `positional-arg-name:"FILE" description:"settings, collection or deployment file"`
+	} `positional-args:"true" required:"true"`
+}
+
+// Execute implements flags.Commander.
+func (c *checkCommand) Execute([]string) error {
+	what, err := checkFile(c.Args.File)
+	if err != nil {
+		return usageError{err}
+	}
+	fmt.Printf("%s: %s, no mistakes\n", c.Args.File, what)
+	return nil
+}
+
+// checkFile tells the type of a file from its keys, and checks it.
+func checkFile(file string) (what string, err error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return "", errors.Wrap(err, "check")
+	}
+	switch {
+	case jsonc.HasKey(data, "collections"):
+		_, err = plan.Decode(file, data)
+		return "deployment", err
+	case jsonc.HasKey(data, "services"), jsonc.HasKey(data, "kinds"):
+		_, err = shell.CollectionOf(file, data)
+		return "collection", err
+	default:
+		_, err = setup.Read(file)
+		return "settings", err
+	}
+}
--- /dev/null
+++ b/cmd/magnoliaworks/main.go
@@ -0,0 +1,86 @@
+// Command magnoliaworks runs hosts, operators' commands, experiments and a demonstration.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"magnoliaworks"
+)
+
+// Exit codes of all commands.
+const (
+	exitOK = 0
+	// exitFailed means that the command ran and found or met a failure.
+	exitFailed = 1
+	// exitUsage means that the command line or a file it names is wrong.
+	exitUsage = 2
+)
+
+// commands are the subcommands.
+type commands struct {
+	Version versionFlag  `long:"version" description:"print the version and exit"`
+	Serve   serveCommand `command:"serve" description:"run a host" long-description:"Runs a host until SIGTERM or SIGINT; it then finishes all accepted work and exits 0."`
+	Check   checkCommand `command:"check" description:"check a settings, collection or deployment file" long-description:"Reads a file strictly and tells file, line, column, key and permitted range of the first mistake; exits 2 then."`
+	Do      doCommand    `command:"do" description:"run one command on a host" long-description:"Runs one command of the query and command language on a host; 'do help' lists the forms."`
+	Shell   shellCommand `command:"shell" description:"run commands on a host from standard input"`
+	Load    loadCommand  `command:"load" description:"run an experiment" long-description:"Runs an open-loop load with faults against stand-ins in this process; exits 1 if a promise was broken."`
+	Demo    demoCommand  `command:"demo" description:"run a whole deployment on loopback" long-description:"Starts stand-ins and 8 hosts on loopback ports, runs one request of each kind and stays up until Ctrl-C; exits 1 if a promise was broken."`
+	Stand   standCommand `command:"stand" description:"run the stand-ins of a deployment as a process of their own" long-description:"Starts stand-in store and backend servers on loopback ports and writes settings files for hosts into a directory."`
+}
+
+// versionFlag prints the version when it is set.
+type versionFlag func() error
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+// run parses the command line, runs the command and returns the exit code.
+func run(args []string) int {
+	var c commands
+	c.Version = func() error {
+		fmt.Println("magnoliaworks", magnoliaworks.Version)
+		return errVersion
+	}
+	parser := flags.NewParser(&c, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "magnoliaworks"
+	_, err := parser.ParseArgs(args)
+	return exitCode(err)
+}
+
+var errVersion = errors.New("version printed")
+
+// exitCode prints an error and returns the code that belongs to it.
+func exitCode(err error) int {
+	if err == nil || errors.Is(err, errVersion) {
+		return exitOK
+	}
+	var flagError *flags.Error
+	if errors.As(err, &flagError) {
+		if flagError.Type == flags.ErrHelp {
+			fmt.Println(flagError.Message)
+			return exitOK
+		}
+		fmt.Fprintln(os.Stderr, flagError.Message)
+		return exitUsage
+	}
+	fmt.Fprintln(os.Stderr, err)
+	var usage usageError
+	if errors.As(err, &usage) {
+		return exitUsage
+	}
+	return exitFailed
+}
+
+// usageError is an error of the command line or of a file that it names.
+type usageError struct {
+	err error
+}
+
+// Error implements error.
+func (e usageError) Error() string { return e.err.Error() }
+
+// Unwrap returns the error itself.
+func (e usageError) Unwrap() error { return e.err }
--- /dev/null
+++ b/cmd/magnoliaworks/stand.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+
+	"magnoliaworks/core/plan"
+	"magnoliaworks/io/hosts"
+	"magnoliaworks/stand"
+)
+
+type standCommand struct {
+	Deployment string `long:"deployment" default:"valparaiso" value-name:"NAME" description:"embedded deployment"`
+	Directory  string `long:"directory" required:"true" value-name:"DIR" description:"where settings files go"`
+	Hosts      int    `long:"hosts" default:"8" description:"number of settings files"`
+	Seed       uint64 `long:"seed" default:"1" description:"seed of service times"`
+}
+
+// hostFile is the content of a settings file that the command writes.
+type hostFile struct {
+	ID              string   `json:"id"`
+	DataCentre      string   `json:"data_centre"`
+	CallerAddress   string   `json:"caller_address"`
+	OperatorAddress string   `json:"operator_address"`
+	PeerAddress     string   `json:"peer_address"`
+	StoreAddress    string   `json:"store_address"`
+	HostsAddress    string   `json:"hosts_address"`
+	Peers           []string `json:"peers"`
+}
+
+// Execute implements flags.Commander.
+func (c *standCommand) Execute([]string) error {
+	p, err := plan.Embedded(c.Deployment)
+	if err != nil {
+		return usageError{err}
+	}
+	platform, err := stand.NewPlatform(p, stand.NewTCP(plan.Delays{}), c.Seed)
+	if err != nil {
+		return err
+	}
+	defer platform.Stop()
+	if err := c.writeSettings(platform); err != nil {
+		return err
+	}
+	fmt.Printf("stand-ins of %s are up; store at %s; settings in %s\n", p.Name, platform.StoreAddress, c.Directory)
+	ctx, stop := untilSignal()
+	defer stop()
+	<-ctx.Done()
+	return nil
+}
+
+func (c *standCommand) writeSettings(platform *stand.Platform) error {
+	files, err := c.hostFiles(platform)
+	if err != nil {
+		return err
+	}
+	var list []hosts.Host
+	for _, f := range files {
+		list = append(list, hosts.Host{
+			ID:         f.ID,
+			Address:    f.PeerAddress,
+			DataCentre: f.DataCentre,
+			State:      hosts.Live,
+		})
+		data, err := json.MarshalIndent(f, "", "  ")
+		if err != nil {
+			return errors.Wrap(err, "encode settings")
+		}
+		if err := os.WriteFile(filepath.Join(c.Directory, f.ID+".jsonc"), append(data, '\n'), 0o644); err != nil {
+			return errors.Wrap(err, "write settings")
+		}
+	}
+	platform.SetHosts(list)
+	return nil
+}
+
+func (c *standCommand) hostFiles(platform *stand.Platform) ([]hostFile, error) {
+	files := make([]hostFile, c.Hosts)
+	for i := range files {
+		addresses, err := freeAddresses()
+		if err != nil {
+			return nil, err
+		}
+		files[i] = hostFile{
+			ID:              fmt.Sprintf("host-%d", i+1),
+			DataCentre:      platform.Plan.DataCentres[i%len(platform.Plan.DataCentres)],
+			CallerAddress:   addresses[0],
+			OperatorAddress: addresses[1],
+			PeerAddress:     addresses[2],
+			StoreAddress:    platform.StoreAddress,
+			HostsAddress:    platform.StoreAddress,
+		}
+	}
+	for i := range files {
+		files[i].Peers = []string{files[(i+1)%len(files)].PeerAddress}
+	}
+	return files, nil
+}
+
+// freeAddresses returns three free loopback addresses.
+func freeAddresses() ([3]string, error) {
+	var addresses [3]string
+	for i := range addresses {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return addresses, errors.Wrap(err, "find a free port")
+		}
+		defer func() { _ = l.Close() }()
+		addresses[i] = l.Addr().String()
+	}
+	return addresses, nil
+}
--- /dev/null
+++ b/core/audit/filter.go
@@ -0,0 +1,14 @@
+package audit
+
+// Filter selects entries; an empty field selects all.
+type Filter struct {
+	Operator string
+	ChangeID string
+}
+
+func (f Filter) matches(e Entry) bool {
+	if f.Operator != "" && f.Operator != e.Operator {
+		return false
+	}
+	return f.ChangeID == "" || f.ChangeID == e.ChangeID
+}
--- /dev/null
+++ b/core/audit/trail.go
@@ -0,0 +1,31 @@
+package audit
+
+// Trail is a list of entries, oldest first.
+type Trail []Entry
+
+// With returns the trail with e at its end, without the oldest entries beyond keep.
+func (t Trail) With(e Entry, keep int) Trail {
+	all := append(append(Trail{}, t...), e)
+	return all[max(0, len(all)-keep):]
+}
+
+// Find returns the entry of a change; ok is false when the trail does not have it.
+func (t Trail) Find(changeID string) (e Entry, ok bool) {
+	for _, entry := range t {
+		if entry.ChangeID == changeID {
+			return entry, true
+		}
+	}
+	return Entry{}, false
+}
+
+// By returns the entries that match each filter that is not empty.
+func (t Trail) By(f Filter) Trail {
+	var found Trail
+	for _, entry := range t {
+		if f.matches(entry) {
+			found = append(found, entry)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/core/config/collection.go
@@ -0,0 +1,94 @@
+// Package config holds the configuration of the fleet, its acceptance by the store and its spread between hosts.
+package config
+
+import "time"
+
+// Collection is a searchable collection: the services that hold its shards and the kinds of request it takes.
+type Collection struct {
+	Name     string    `json:"name" need:"true" min:"1" max:"64"`
+	Services []Service `json:"services" need:"true" min:"1" max:"4096"`
+	Kinds    []Kind    `json:"kinds" need:"true" min:"1" max:"64"`
+}
+
+// Service is a group of replicas that hold the same shards.
+type Service struct {
+	Name string `json:"name" need:"true" min:"1" max:"64"`
+	// Slots is the number of requests that a replica works on at once.
+	Slots int `json:"slots" need:"true" min:"1" max:"1024"`
+	// Connections is the number of connections that a replica takes.
+	Connections int       `json:"connections" need:"true" min:"4" max:"65535"`
+	Replicas    []Replica `json:"replicas" need:"true" min:"1" max:"4096"`
+}
+
+// Replica is one backend server.
+type Replica struct {
+	ID         string `json:"id" need:"true" min:"1" max:"128"`
+	Address    string `json:"address" need:"true"`
+	DataCentre string `json:"data_centre" need:"true" min:"1" max:"64"`
+}
+
+// Kind states what one kind of request needs.
+type Kind struct {
+	Name string `json:"name" need:"true" min:"1" max:"64"`
+	// Deadline is the time within which an answer is of use.
+	Deadline time.Duration `json:"deadline" need:"true" min:"10ms" max:"60s"`
+	// MinCoverage is the least share of shards that an answer may stand on.
+	MinCoverage float64     `json:"min_coverage" need:"true" min:"0" max:"1"`
+	Idempotence Idempotence `json:"idempotence" need:"true" oneof:"idempotent|once"`
+	// Priority orders requests under overload; 9 is the most urgent.
+	Priority int     `json:"priority" need:"true" min:"0" max:"9"`
+	Fanout   Fanout  `json:"fanout" need:"true" oneof:"all_shards|one_shard"`
+	Hedging  Hedging `json:"hedging" need:"true" oneof:"on|off"`
+	Ledger   Ledger  `json:"ledger" need:"true" oneof:"required|none"`
+	// MaxHits bounds the number of hits that a caller may ask for.
+	MaxHits int `json:"max_hits" need:"true" min:"1" max:"10000"`
+}
+
+// Idempotence tells whether a second run of a request does harm.
+type Idempotence string
+
+// Fanout tells which shards a request goes to.
+type Fanout string
+
+// Hedging tells whether a slow sub-request is sent to a second replica.
+type Hedging string
+
+// Ledger tells whether a request is recorded in the store before it runs.
+type Ledger string
+
+// The values of the enumerations of Kind.
+const (
+	Idempotent Idempotence = "idempotent"
+	Once       Idempotence = "once"
+
+	AllShards Fanout = "all_shards"
+	OneShard  Fanout = "one_shard"
+
+	HedgingOn  Hedging = "on"
+	HedgingOff Hedging = "off"
+
+	LedgerRequired Ledger = "required"
+	LedgerNone     Ledger = "none"
+)
+
+// Kind returns the kind of that name; ok is false when the collection has none.
+func (c Collection) Kind(name string) (k Kind, ok bool) {
+	for _, kind := range c.Kinds {
+		if kind.Name == name {
+			return kind, true
+		}
+	}
+	return Kind{}, false
+}
+
+// WithKind returns a collection in which k replaces the kind of the same name.
+func (c Collection) WithKind(k Kind) Collection {
+	kinds := append([]Kind{}, c.Kinds...)
+	for i := range kinds {
+		if kinds[i].Name == k.Name {
+			kinds[i] = k
+		}
+	}
+	c.Kinds = kinds
+	return c
+}
--- /dev/null
+++ b/core/config/fleet.go
@@ -0,0 +1,69 @@
+package config
+
+import "slices"
+
+// Fleet is the configuration that concerns all collections.
+type Fleet struct {
+	// Out lists what operators have taken out of service.
+	Out []Place `json:"out"`
+	// Budgets bound extra load.
+	Budgets Budgets `json:"budgets"`
+}
+
+// Place is a data centre, a host or a backend server.
+type Place struct {
+	Type PlaceType `json:"type"`
+	Name string    `json:"name"`
+}
+
+// PlaceType tells what a place is.
+type PlaceType string
+
+// The types of place.
+const (
+	DataCentrePlace PlaceType = "data_centre"
+	HostPlace       PlaceType = "host"
+	ServerPlace     PlaceType = "server"
+)
+
+// Budgets are shares of ordinary sub-requests that extra ones may reach.
+type Budgets struct {
+	Hedge float64 `json:"hedge"`
+	Retry float64 `json:"retry"`
+	Cross float64 `json:"cross"`
+}
+
+// DefaultFleet returns the configuration of a fleet that no operator has changed.
+func DefaultFleet() Fleet {
+	return Fleet{
+		Budgets: Budgets{
+			Hedge: 0.03,
+			Retry: 0.05,
+			Cross: 0.05,
+		},
+	}
+}
+
+// IsOut reports whether operators have taken the place out.
+func (f Fleet) IsOut(p Place) bool { return slices.Contains(f.Out, p) }
+
+// WithOut returns a fleet in which the place is out.
+func (f Fleet) WithOut(p Place) Fleet {
+	if f.IsOut(p) {
+		return f
+	}
+	f.Out = append(slices.Clone(f.Out), p)
+	return f
+}
+
+// WithIn returns a fleet in which the place is in service.
+func (f Fleet) WithIn(p Place) Fleet {
+	f.Out = slices.DeleteFunc(slices.Clone(f.Out), func(q Place) bool { return q == p })
+	return f
+}
+
+// WithBudgets returns a fleet with the budgets b.
+func (f Fleet) WithBudgets(b Budgets) Fleet {
+	f.Budgets = b
+	return f
+}
--- /dev/null
+++ b/core/gather/options.go
@@ -0,0 +1,56 @@
+package gather
+
+import (
+	"time"
+
+	"magnoliaworks/core/index"
+	"magnoliaworks/core/ledger"
+	"magnoliaworks/core/limit"
+	"magnoliaworks/core/member"
+	"magnoliaworks/core/route"
+	"magnoliaworks/core/trace"
+)
+
+// Parts are what a Gatherer works with.
+type Parts struct {
+	Self      member.Member
+	Routes    *route.Current
+	Picker    *route.Picker
+	Holdings  *index.Holdings
+	Sender    Sender
+	Forwarder Forwarder
+	Book      *ledger.Book
+	Journal   *trace.Journal
+	Gate      *limit.Gate
+	Hedges    *limit.Budget
+	Retries   *limit.Budget
+	Policy    route.Policy
+	Meter     Meter
+	// Tasks runs what outlives a caller's wait.
+	Tasks Tasks
+}
+
+// Tasks starts tasks that a shutdown waits for.
+type Tasks interface {
+	// Go runs the task in the group.
+	Go(task func() error)
+}
+
+// Meter counts what the gatherer does.
+type Meter interface {
+	// Request counts an ended request: its outcome word, its time and its coverage share.
+	Request(collection, kind, outcome string, took time.Duration, coverage float64)
+	// Sub counts a sub-request that was sent.
+	Sub(reason Reason, cross bool)
+}
+
+// Reason tells why a sub-request is sent.
+type Reason string
+
+// The reasons.
+const (
+	First  Reason = "first"
+	Retry  Reason = "retry"
+	Hedge  Reason = "hedge"
+	Mirror Reason = "mirror"
+)
--- /dev/null
+++ b/core/ledger/content.go
@@ -0,0 +1,70 @@
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+const (
+	contentFormat = 1
+	// maxObject is the size in bytes above which a partition takes no new request; the store refuses a megabyte.
+	maxObject = 900 << 10
+	// retention is the time for which an outcome is kept.
+	retention = 10 * time.Minute
+	// Partitions is the number of partition objects.
+	Partitions = 4
+)
+
+// content is what one partition object holds.
+type content struct {
+	Format  int              `json:"format"`
+	Entries map[string]Entry `json:"entries"`
+}
+
+// Partition returns the partition of a request.
+func Partition(id string) int { return int(xxhash.Sum64String(id) % Partitions) }
+
+// Key returns the store key of a partition.
+func Key(partition int) string { return fmt.Sprintf("ledger/%02d", partition) }
+
+func newContent() content {
+	return content{
+		Format:  contentFormat,
+		Entries: make(map[string]Entry),
+	}
+}
+
+func decodeContent(key string, value []byte) (content, error) {
+	var c content
+	if err := json.Unmarshal(value, &c); err != nil {
+		return content{}, errors.Wrapf(err, "decode ledger object %q", key)
+	}
+	if c.Format != contentFormat || c.Entries == nil {
+		return content{}, errors.Errorf("ledger object %q has format %d, known is %d", key, c.Format, contentFormat)
+	}
+	return c, nil
+}
+
+func (c content) encode() ([]byte, error) {
+	value, err := json.Marshal(c)
+	return value, errors.Wrap(err, "encode ledger object")
+}
+
+// clone returns a copy without the outcomes that are older than the retention time.
+func (c content) clone(now time.Time) content {
+	next := content{
+		Format:  c.Format,
+		Entries: maps.Clone(c.Entries),
+	}
+	for id, e := range next.Entries {
+		if e.State != Sent && now.Sub(e.At) > retention {
+			delete(next.Entries, id)
+		}
+	}
+	return next
+}
--- /dev/null
+++ b/core/member/table.go
@@ -0,0 +1,160 @@
+package member
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// maxNews is the number of recent changes that a ping carries.
+const maxNews = 12
+
+// newsRepeats is the number of pings that carry one change.
+const newsRepeats = 6
+
+// Table holds the present view of a host. It is safe for concurrent use.
+type Table struct {
+	mu      sync.Mutex
+	self    Member
+	view    atomic.Pointer[View]
+	changed chan struct{}
+	// since tells when each suspect, unreachable or left member got that state, by the local clock.
+	since map[string]time.Time
+	// news holds the IDs of recently changed members with the number of pings that still carry them.
+	news map[string]int
+}
+
+// NewTable returns a table that knows only self.
+func NewTable(self Member) *Table {
+	t := &Table{
+		self:    self,
+		changed: make(chan struct{}),
+		since:   make(map[string]time.Time),
+		news:    map[string]int{self.ID: newsRepeats},
+	}
+	view, _ := View{}.With(self)
+	t.view.Store(&view)
+	return t
+}
+
+// View returns the present view.
+func (t *Table) View() View { return *t.view.Load() }
+
+// Self returns the host's own record.
+func (t *Table) Self() Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.self
+}
+
+// Changed returns a channel that is closed at the next change of the view.
+func (t *Table) Changed() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changed
+}
+
+// Learn takes in news about members. News that contradicts the host's own state is answered by a higher incarnation.
+func (t *Table) Learn(members ...Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range members {
+		if m.ID == t.self.ID {
+			t.contradict(m)
+			continue
+		}
+		t.put(m)
+	}
+}
+
+// Announce changes the host's own state.
+func (t *Table) Announce(s State) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.self = t.self.WithState(s).WithIncarnation(t.self.Incarnation + 1)
+	t.put(t.self)
+}
+
+// Suspect marks a member as suspect unless its record has changed since m was read.
+func (t *Table) Suspect(m Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	present, ok := t.View().Get(m.ID)
+	if ok && present.Incarnation == m.Incarnation && present.State == Alive {
+		t.put(present.WithState(Suspect))
+	}
+}
+
+// Expire marks as unreachable what has been suspect or leaving without contact for too long,
+// and forgets what has been gone for longer than forget.
+func (t *Table) Expire(now time.Time, suspicion, forget time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range t.View().Members() {
+		age := now.Sub(t.since[m.ID])
+		switch {
+		case m.State == Suspect && age > suspicion:
+			t.put(m.WithState(Unreachable))
+		case m.State >= Leaving && age > forget:
+			t.remove(m.ID)
+		}
+	}
+}
+
+// Postpone restarts the clock of every suspicion; a host calls it after it was paused itself.
+func (t *Table) Postpone(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id := range t.since {
+		t.since[id] = now
+	}
+}
+
+// News returns recent changes for the next ping.
+func (t *Table) News() []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var news []Member
+	for id, left := range t.news {
+		if len(news) == maxNews {
+			break
+		}
+		if m, ok := t.View().Get(id); ok {
+			news = append(news, m)
+		}
+		t.news[id] = left - 1
+		if left <= 1 {
+			delete(t.news, id)
+		}
+	}
+	return news
+}
+
+func (t *Table) contradict(m Member) {
+	if m.supersedes(t.self) {
+		t.self = t.self.WithIncarnation(m.Incarnation + 1)
+		t.put(t.self)
+	}
+}
+
+func (t *Table) put(m Member) {
+	view, newer := t.View().With(m)
+	if !newer {
+		return
+	}
+	t.since[m.ID] = time.Now()
+	t.news[m.ID] = newsRepeats
+	t.publish(view)
+}
+
+func (t *Table) remove(id string) {
+	delete(t.since, id)
+	delete(t.news, id)
+	t.publish(t.View().Without(id))
+}
+
+func (t *Table) publish(view View) {
+	t.view.Store(&view)
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
--- /dev/null
+++ b/core/route/picker.go
@@ -0,0 +1,194 @@
+package route
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"magnoliaworks/core/limit"
+	"magnoliaworks/core/trace"
+)
+
+const (
+	// farGain is the part of the near estimate that a far server must save to be chosen for speed.
+	farGain = 0.5
+	// farMinimum is the least time that a far server must save.
+	farMinimum = 15 * time.Millisecond
+	// mirrorFactor is the multiple of the fastest near estimate from which a server counts as passed over for slowness.
+	mirrorFactor = 3
+)
+
+// Policy tells how replicas are chosen.
+type Policy string
+
+// The policies.
+const (
+	// Full uses nearness, observed times, ejection, hedges and retries.
+	Full Policy = "full"
+	// Naive takes any replica at random and sends nothing twice; it serves as the measure for Full.
+	Naive Policy = "naive"
+)
+
+// Picker chooses backend servers by what this host has observed. It is safe for concurrent use.
+type Picker struct {
+	policy     Policy
+	dataCentre string
+	cross      *limit.Budget
+	journal    *trace.Journal
+
+	mu     sync.RWMutex
+	scores map[string]*score
+}
+
+// NewPicker returns a picker for a host in the given data centre. cross bounds choices of far servers for speed.
+func NewPicker(policy Policy, dataCentre string, cross *limit.Budget, journal *trace.Journal) *Picker {
+	return &Picker{
+		policy:     policy,
+		dataCentre: dataCentre,
+		cross:      cross,
+		journal:    journal,
+		scores:     make(map[string]*score),
+	}
+}
+
+// Candidates are the servers that may answer for one shard.
+type Candidates struct {
+	Servers []Server
+	// Tried names servers that have been sent the sub-request already.
+	Tried []string
+	// Holds reports whether a server may hold the wanted snapshot.
+	Holds func(server string) bool
+}
+
+// Pick returns the server to send a sub-request to; ok is false when none is left.
+func (p *Picker) Pick(c Candidates) (s Server, ok bool) {
+	usable := c.usable()
+	if len(usable) == 0 {
+		return Server{}, false
+	}
+	if p.policy == Naive {
+		return usable[rand.IntN(len(usable))], true
+	}
+	now := time.Now()
+	near, far := p.split(usable, now)
+	switch {
+	case len(near) == 0 && len(far) == 0:
+		return usable[rand.IntN(len(usable))], true
+	case len(near) == 0:
+		return p.better(far, now), true
+	case len(far) == 0:
+		return p.better(near, now), true
+	}
+	return p.nearOrFar(p.better(near, now), p.better(far, now), now), true
+}
+
+// Trial returns a server that has been passed over for its slowness long enough to be tried beside chosen.
+func (p *Picker) Trial(c Candidates, chosen Server) (s Server, ok bool) {
+	now := time.Now()
+	best := p.score(chosen.ID).estimate(now)
+	if p.policy == Naive || best == 0 {
+		return Server{}, false
+	}
+	for _, candidate := range c.usable() {
+		if candidate.DataCentre != p.dataCentre || candidate.ID == chosen.ID {
+			continue
+		}
+		score := p.score(candidate.ID)
+		if score.estimate(now) > mirrorFactor*best && score.trialDue(now) {
+			return candidate, true
+		}
+	}
+	return Server{}, false
+}
+
+func (p *Picker) nearOrFar(near, far Server, now time.Time) Server {
+	nearTime, farTime := p.score(near.ID).estimate(now), p.score(far.ID).estimate(now)
+	saved := nearTime - farTime
+	if farTime == 0 || saved < farMinimum || saved < time.Duration(farGain*float64(nearTime)) {
+		return near
+	}
+	if !p.cross.Spend() {
+		return near
+	}
+	return far
+}
+
+// split separates the servers that are not passed over by data centre.
+func (p *Picker) split(usable []Server, now time.Time) (near, far []Server) {
+	for _, s := range usable {
+		if p.score(s.ID).passedOver(now) {
+			continue
+		}
+		if s.DataCentre == p.dataCentre {
+			near = append(near, s)
+		} else {
+			far = append(far, s)
+		}
+	}
+	return near, far
+}
+
+// better returns the one of two random servers that is expected to reply first.
+func (p *Picker) better(servers []Server, now time.Time) Server {
+	if len(servers) == 1 {
+		return servers[0]
+	}
+	i := rand.IntN(len(servers))
+	j := rand.IntN(len(servers) - 1)
+	if j >= i {
+		j++
+	}
+	if p.score(servers[j].ID).estimate(now) < p.score(servers[i].ID).estimate(now) {
+		return servers[j]
+	}
+	return servers[i]
+}
+
+func (p *Picker) score(id string) *score {
+	p.mu.RLock()
+	s, ok := p.scores[id]
+	p.mu.RUnlock()
+	if ok {
+		return s
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s, ok := p.scores[id]; ok {
+		return s
+	}
+	s = &score{}
+	p.scores[id] = s
+	return s
+}
+
+// Keep forgets every server for which wanted returns false.
+func (p *Picker) Keep(wanted func(server string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id := range p.scores {
+		if !wanted(id) {
+			delete(p.scores, id)
+		}
+	}
+}
+
+// usable returns the servers that were not tried, hold the snapshot and have a live home.
+func (c Candidates) usable() []Server {
+	usable := make([]Server, 0, len(c.Servers))
+	for _, s := range c.Servers {
+		if len(s.Homes) == 0 || contains(c.Tried, s.ID) || !c.Holds(s.ID) {
+			continue
+		}
+		usable = append(usable, s)
+	}
+	return usable
+}
+
+func contains(list []string, s string) bool {
+	for _, item := range list {
+		if item == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/server/group.go
@@ -0,0 +1,142 @@
+package server
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"magnoliaworks/core/query"
+	"magnoliaworks/core/timer"
+	"magnoliaworks/core/trace"
+)
+
+// sweepPeriod is the time between two comparisons of the servers with the configuration.
+const sweepPeriod = 500 * time.Millisecond
+
+// Group holds the backend servers that this host is home of.
+type Group struct {
+	directory Directory
+	dialer    Dialer
+	timer     *timer.Service
+	journal   *trace.Journal
+
+	mu      sync.Mutex
+	ctx     context.Context
+	tasks   *errgroup.Group
+	servers map[string]*Server
+}
+
+// New returns a group without servers; it serves nothing until Run is called.
+func New(directory Directory, dialer Dialer, t *timer.Service, journal *trace.Journal) *Group {
+	return &Group{
+		directory: directory,
+		dialer:    dialer,
+		timer:     t,
+		journal:   journal,
+		servers:   make(map[string]*Server),
+	}
+}
+
+// Run serves until ctx ends.
+func (g *Group) Run(ctx context.Context) error {
+	tasks, ctx := errgroup.WithContext(ctx)
+	g.mu.Lock()
+	g.ctx, g.tasks = ctx, tasks
+	g.mu.Unlock()
+	ticks := g.timer.Subscribe(ctx, sweepPeriod)
+	for {
+		g.Sweep()
+		select {
+		case <-ctx.Done():
+			return tasks.Wait()
+		case <-ticks:
+		}
+	}
+}
+
+// Submit gives a sub-request to its backend server, or delivers at once why it did not run.
+// The returned function ends interest in the result.
+func (g *Group) Submit(sub query.Sub, deliver func(query.Result)) (cancel func()) {
+	s, reason := g.find(sub.Server)
+	if reason != "" {
+		deliver(query.Unsent{
+			Reason: reason,
+		})
+		return func() {}
+	}
+	job := s.Submit(sub, deliver)
+	return func() { s.Cancel(job) }
+}
+
+// find returns the server, or the reason why this host gives it no work.
+func (g *Group) find(id string) (*Server, string) {
+	spec, ok := g.directory.Server(id)
+	if !ok {
+		return nil, "server not in the configuration"
+	}
+	switch spec.Permit {
+	case Out:
+		return nil, "taken out of service"
+	case Away:
+		return nil, "home moved"
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.tasks == nil || g.ctx.Err() != nil {
+		return nil, "host stopped"
+	}
+	return g.ensure(spec), ""
+}
+
+func (g *Group) ensure(spec Spec) *Server {
+	if s, ok := g.servers[spec.ID]; ok && s.spec.Address == spec.Address {
+		return s
+	}
+	s := newServer(spec, g.dialer, g.timer, g.journal)
+	g.servers[spec.ID] = s
+	ctx := g.ctx
+	g.tasks.Go(func() error { return s.run(ctx) })
+	return s
+}
+
+// Sweep connects to servers that have become this host's and ends those that no longer are.
+func (g *Group) Sweep() {
+	homed := g.directory.Homed()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.tasks == nil || g.ctx.Err() != nil {
+		return
+	}
+	for _, spec := range homed {
+		g.ensure(spec)
+	}
+	for id, s := range g.servers {
+		spec, ok := g.directory.Server(id)
+		if ok && (spec.Permit == Home || (spec.Permit == Deputy && s.busy())) {
+			continue
+		}
+		delete(g.servers, id)
+		s.close()
+	}
+}
+
+// busy reports whether jobs are queued or in progress.
+func (s *Server) busy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.queue) > 0 || len(s.running) > 0
+}
+
+// Busy reports whether any server has jobs queued or in progress.
+func (g *Group) Busy() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.servers {
+		if s.busy() {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/server/job.go
@@ -0,0 +1,70 @@
+package server
+
+import (
+	"time"
+
+	"magnoliaworks/core/query"
+)
+
+// Job is a sub-request on its way to a backend server.
+type Job struct {
+	sub     query.Sub
+	deliver func(query.Result)
+	// index is the place in the queue, or -1 outside it.
+	index int
+	// resent is set when the job was sent on a connection that failed.
+	resent bool
+	// sent is set while a lane has the job.
+	sent bool
+	// cancelled is set when no result is wanted any more.
+	cancelled bool
+	started   time.Time
+}
+
+func (j *Job) expired(now time.Time) bool { return j.cancelled || now.After(j.sub.Until) }
+
+// jobs is a heap ordered by priority, then deadline.
+type jobs []*Job
+
+func (q jobs) Len() int { return len(q) }
+
+func (q jobs) Less(a, b int) bool {
+	if q[a].sub.Priority != q[b].sub.Priority {
+		return q[a].sub.Priority > q[b].sub.Priority
+	}
+	return q[a].sub.Until.Before(q[b].sub.Until)
+}
+
+func (q jobs) Swap(a, b int) {
+	q[a], q[b] = q[b], q[a]
+	q[a].index, q[b].index = a, b
+}
+
+// Push implements heap.Interface.
+func (q *jobs) Push(x any) {
+	j := x.(*Job)
+	j.index = len(*q)
+	*q = append(*q, j)
+}
+
+// Pop implements heap.Interface.
+func (q *jobs) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	last.index = -1
+	*q = old[:len(old)-1]
+	return last
+}
+
+// least returns the job that would be served last among those of the lowest priority.
+func (q jobs) least() *Job {
+	var worst *Job
+	for _, j := range q {
+		if worst == nil || j.sub.Priority < worst.sub.Priority ||
+			(j.sub.Priority == worst.sub.Priority && j.sub.Until.After(worst.sub.Until)) {
+			worst = j
+		}
+	}
+	return worst
+}
--- /dev/null
+++ b/core/server/server.go
@@ -0,0 +1,267 @@
+package server
+
+import (
+	"container/heap"
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"magnoliaworks/core/limit"
+	"magnoliaworks/core/query"
+	"magnoliaworks/core/timer"
+	"magnoliaworks/core/trace"
+)
+
+const (
+	// spareLanes is the number of open connections beyond the slots, so that a lost one is replaced without a wait.
+	spareLanes = 2
+	// overlap is the number of homes that may share a server's connections while views of the fleet differ.
+	overlap = 2
+	// controlConnections is the number of connections that carry probes.
+	controlConnections = 1
+	// queueFactor bounds the queue in multiples of the slots.
+	queueFactor = 32
+	// assumedService is the service time of a server of which nothing is known.
+	assumedService = 10 * time.Millisecond
+)
+
+// Server is one backend server as seen from its home. It holds the queue and the limit;
+// a task for each connection takes jobs from it.
+type Server struct {
+	spec    Spec
+	dialer  Dialer
+	timer   *timer.Service
+	journal *trace.Journal
+	control *control
+
+	mu      sync.Mutex
+	queue   jobs
+	idle    []chan *Job
+	running map[chan *Job]*Job
+	warmup  limit.Warmup
+	status  Status
+	// unverified is set after a connection was lost until a reply shows whether the server has restarted.
+	unverified bool
+	// down is set while no connection can be opened.
+	down   bool
+	closed bool
+	ended  chan struct{}
+}
+
+func newServer(spec Spec, dialer Dialer, t *timer.Service, journal *trace.Journal) *Server {
+	s := &Server{
+		spec:    spec,
+		dialer:  dialer,
+		timer:   t,
+		journal: journal,
+		running: make(map[chan *Job]*Job),
+		warmup:  limit.NewWarmup(spec.Slots),
+		ended:   make(chan struct{}),
+	}
+	s.control = newControl(s)
+	return s
+}
+
+// run serves jobs until the server is closed and idle, or ctx ends.
+func (s *Server) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	lanes := min(s.spec.Slots+spareLanes, s.spec.Connections/overlap-controlConnections)
+	for range max(lanes, 1) {
+		group.Go(func() error { return s.lane(ctx) })
+	}
+	group.Go(func() error { return s.control.run(ctx) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-s.ended:
+		}
+		cancel()
+		return nil
+	})
+	err := group.Wait()
+	s.close()
+	return err
+}
+
+// Submit queues a sub-request; deliver receives its result once, from another task or this one.
+func (s *Server) Submit(sub query.Sub, deliver func(query.Result)) *Job {
+	job := &Job{
+		sub:     sub,
+		deliver: deliver,
+		index:   -1,
+	}
+	s.mu.Lock()
+	reason, victim := s.admit(job)
+	hint := s.hint(0)
+	s.mu.Unlock()
+	if reason != "" {
+		deliver(query.Unsent{
+			Reason: reason,
+			Hint:   hint,
+		})
+	}
+	if victim != nil {
+		victim.deliver(query.Unsent{
+			Reason: "queue full, displaced by a more urgent request",
+			Hint:   hint,
+		})
+	}
+	return job
+}
+
+// admit queues the job, or returns the reason why not. A victim is a queued job that had to make room.
+func (s *Server) admit(job *Job) (reason string, victim *Job) {
+	now := time.Now()
+	switch {
+	case s.closed:
+		return "home moved", nil
+	case s.status.Draining:
+		return "server leaving", nil
+	case s.down:
+		return "server down", nil
+	case job.expired(now):
+		return "deadline passed", nil
+	case now.Add(s.waitFor(job.sub.Priority)).After(job.sub.Until):
+		return "queue too long for the deadline", nil
+	}
+	if len(s.queue) >= queueFactor*s.spec.Slots {
+		victim = s.queue.least()
+		if victim.sub.Priority >= job.sub.Priority {
+			return "queue full", nil
+		}
+		heap.Remove(&s.queue, victim.index)
+	}
+	heap.Push(&s.queue, job)
+	s.dispatch()
+	return "", victim
+}
+
+// Cancel ends interest in a job. A job in progress is cancelled at the backend server if it may be repeated.
+func (s *Server) Cancel(job *Job) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if job.cancelled {
+		return
+	}
+	job.cancelled = true
+	if job.index >= 0 {
+		heap.Remove(&s.queue, job.index)
+		return
+	}
+	if job.sent && job.sub.Repeatable() {
+		s.control.cancel(job)
+	}
+}
+
+// dispatch hands queued jobs to idle lanes while the limit permits.
+func (s *Server) dispatch() {
+	for len(s.queue) > 0 && len(s.idle) > 0 && len(s.running) < s.limit() {
+		job := heap.Pop(&s.queue).(*Job)
+		lane := s.idle[len(s.idle)-1]
+		s.idle = s.idle[:len(s.idle)-1]
+		job.started = time.Now()
+		job.sent = true
+		s.running[lane] = job
+		lane <- job
+	}
+}
+
+func (s *Server) limit() int {
+	if s.unverified {
+		return 1
+	}
+	return s.warmup.Limit()
+}
+
+// waitFor returns the expected wait of a new job of that priority.
+func (s *Server) waitFor(priority int) time.Duration {
+	ahead := max(len(s.running)+1-s.limit(), 0)
+	for _, j := range s.queue {
+		if j.sub.Priority >= priority {
+			ahead++
+		}
+	}
+	return time.Duration(ahead) * s.service() / time.Duration(s.limit())
+}
+
+func (s *Server) service() time.Duration {
+	if usual := s.warmup.Usual(); usual > 0 {
+		return usual
+	}
+	return assumedService
+}
+
+func (s *Server) hint(service time.Duration) query.Hint {
+	return query.Hint{
+		OldestSnapshot: s.status.OldestSnapshot,
+		NewestSnapshot: s.status.NewestSnapshot,
+		Wait:           s.waitFor(0),
+		Service:        service,
+	}
+}
+
+// finish frees the place of a lane's job.
+func (s *Server) finish(lane chan *Job) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.running, lane)
+	s.dispatch()
+	s.endIfIdle()
+}
+
+// requeue returns a job that may be sent again, once; it reports false when the job has had its second try.
+func (s *Server) requeue(job *Job) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if job.resent || s.closed || s.down {
+		return false
+	}
+	job.resent = true
+	job.sent = false
+	if !job.cancelled {
+		heap.Push(&s.queue, job)
+	}
+	return true
+}
+
+// close refuses new jobs, returns the queued ones as not run, and lets those in progress finish.
+func (s *Server) close() {
+	s.mu.Lock()
+	s.closed = true
+	flushed := s.flush()
+	s.endIfIdle()
+	s.mu.Unlock()
+	refuse(flushed, "home moved")
+}
+
+func (s *Server) flush() []*Job {
+	flushed := s.queue
+	s.queue = nil
+	for _, j := range flushed {
+		j.index = -1
+	}
+	return flushed
+}
+
+func (s *Server) endIfIdle() {
+	if !s.closed || len(s.running) > 0 {
+		return
+	}
+	select {
+	case <-s.ended:
+	default:
+		close(s.ended)
+	}
+}
+
+func refuse(jobs []*Job, reason string) {
+	for _, j := range jobs {
+		j.deliver(query.Unsent{
+			Reason: reason,
+		})
+	}
+}
--- /dev/null
+++ b/core/spread/watcher.go
@@ -0,0 +1,122 @@
+package spread
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"magnoliaworks/core/config"
+	"magnoliaworks/core/member"
+)
+
+const (
+	// watchersPerCentre is the number of hosts of a data centre that watch the store.
+	watchersPerCentre = 2
+	// backoffMin and backoffMax bound the wait after a failed watch.
+	backoffMin = 200 * time.Millisecond
+	backoffMax = 5 * time.Second
+	// idlePeriod is the time between two looks at whether this host has become a watcher.
+	idlePeriod = 500 * time.Millisecond
+)
+
+// Watchable is a store that tells of changes.
+type Watchable interface {
+	// Changes returns the stored objects that changed after a revision and the revision they lead to.
+	// It waits a while for a change and then returns none; revision 0 returns all objects at once.
+	Changes(ctx context.Context, after uint64) (objects []Stored, revision uint64, err error)
+}
+
+// Stored is one object as the store returned it.
+type Stored struct {
+	Key   string
+	Value []byte
+}
+
+// watcher watches the store while this host is one of the chosen ones of its data centre.
+type watcher struct {
+	store   Watchable
+	spread  *Spread
+	wakened chan struct{}
+}
+
+func (w *watcher) wake() {
+	select {
+	case w.wakened <- struct{}{}:
+	default:
+	}
+}
+
+// run reads the store once at the start and then watches it whenever this host is chosen.
+func (w *watcher) run(ctx context.Context) error {
+	ticks := w.spread.timer.Subscribe(ctx, idlePeriod)
+	revision, backoff := uint64(0), backoffMin
+	for ctx.Err() == nil {
+		if revision > 0 && !w.chosen() {
+			select {
+			case <-ctx.Done():
+			case <-ticks:
+			case <-w.wakened:
+			}
+			continue
+		}
+		next, err := w.step(ctx, revision)
+		if err == nil {
+			revision, backoff = next, backoffMin
+			continue
+		}
+		w.rest(ctx, backoff)
+		backoff = min(2*backoff, backoffMax)
+	}
+	return nil
+}
+
+// step waits for one set of changes. A reply older than what was read before is a stale read.
+func (w *watcher) step(ctx context.Context, after uint64) (uint64, error) {
+	stored, revision, err := w.store.Changes(ctx, after)
+	if err != nil {
+		return 0, err
+	}
+	if revision < after {
+		return 0, errors.Errorf("watch returned revision %d after %d", revision, after)
+	}
+	var objects []config.Object
+	for _, s := range stored {
+		o, err := config.Decode(s.Key, s.Value)
+		if err != nil {
+			w.spread.journal.Record("spread", s.Key, "object ignored", err.Error())
+			continue
+		}
+		objects = append(objects, o)
+	}
+	w.spread.offer("the store", objects)
+	return revision, nil
+}
+
+// rest waits after a failure, with jitter, so that the end of an outage brings no stampede.
+func (w *watcher) rest(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d/2 + rand.N(d))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// chosen reports whether this host is among the watchers of its data centre.
+func (w *watcher) chosen() bool {
+	self := w.spread.table.Self()
+	var near []member.Member
+	for _, m := range w.spread.table.View().Working() {
+		if m.DataCentre == self.DataCentre {
+			near = append(near, m)
+		}
+	}
+	for _, m := range member.Rank(near, "watch/"+self.DataCentre, watchersPerCentre) {
+		if m.ID == self.ID {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/timer/schedule.go
@@ -0,0 +1,63 @@
+package timer
+
+import (
+	"container/heap"
+	"context"
+	"time"
+)
+
+// maxSleep bounds the wait of an empty schedule.
+const maxSleep = time.Hour
+
+type subscription struct {
+	ctx    context.Context
+	period time.Duration
+	due    time.Time
+	ticks  chan Tick
+}
+
+// schedule is a heap of subscriptions ordered by due time.
+type schedule []*subscription
+
+func (q schedule) Len() int           { return len(q) }
+func (q schedule) Less(i, j int) bool { return q[i].due.Before(q[j].due) }
+func (q schedule) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *schedule) Push(x any) { *q = append(*q, x.(*subscription)) }
+
+// Pop implements heap.Interface.
+func (q *schedule) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+func (q schedule) untilNext(now time.Time) time.Duration {
+	if len(q) == 0 {
+		return maxSleep
+	}
+	return max(q[0].due.Sub(now), 0)
+}
+
+// fire sends a tick to each due subscriber and drops those whose context has ended.
+func (q *schedule) fire(now time.Time) {
+	for len(*q) > 0 && !(*q)[0].due.After(now) {
+		sub := (*q)[0]
+		if sub.ctx.Err() != nil {
+			heap.Pop(q)
+			continue
+		}
+		tick := Tick{
+			At:   now,
+			Late: now.Sub(sub.due),
+		}
+		select {
+		case sub.ticks <- tick:
+		default:
+		}
+		sub.due = now.Add(sub.period)
+		heap.Fix(q, 0)
+	}
+}
--- /dev/null
+++ b/core/trace/event.go
@@ -0,0 +1,16 @@
+// Package trace remembers the decisions of a host so that operators can ask for their cause.
+package trace
+
+import "time"
+
+// Event is one decision that changed the behaviour of a host.
+type Event struct {
+	At time.Time `json:"at"`
+	// Part names the part of the host that decided.
+	Part string `json:"part"`
+	// Subject names the backend server, host, data centre or change concerned.
+	Subject string `json:"subject"`
+	What    string `json:"what"`
+	// Cause is the evidence for the decision.
+	Cause string `json:"cause"`
+}
--- /dev/null
+++ b/core/trace/journal.go
@@ -0,0 +1,76 @@
+package trace
+
+import (
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+const (
+	maxEvents  = 2048
+	maxQueries = 1024
+)
+
+// Journal keeps the latest events and query records in bounded memory.
+type Journal struct {
+	log     hclog.Logger
+	mu      sync.Mutex
+	events  ring[Event]
+	queries ring[Query]
+}
+
+// NewJournal returns an empty journal that also logs each event.
+func NewJournal(log hclog.Logger) *Journal {
+	return &Journal{
+		log:     log,
+		events:  newRing[Event](maxEvents),
+		queries: newRing[Query](maxQueries),
+	}
+}
+
+// Record remembers a decision and logs it under the prefix of its part.
+func (j *Journal) Record(part, subject, what, cause string) {
+	j.log.Named(part).Info(subject + ": " + what + ": " + cause)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.events.add(Event{
+		At:      time.Now().UTC(),
+		Part:    part,
+		Subject: subject,
+		What:    what,
+		Cause:   cause,
+	})
+}
+
+// Keep remembers the record of a request.
+func (j *Journal) Keep(q Query) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.queries.add(q)
+}
+
+// Events returns the remembered events about a subject, oldest first; an empty subject selects all.
+func (j *Journal) Events(subject string) []Event {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var found []Event
+	for _, e := range j.events.all() {
+		if subject == "" || e.Subject == subject {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+// Query returns the record of a request; ok is false when it was not kept.
+func (j *Journal) Query(id string) (q Query, ok bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, record := range j.queries.all() {
+		if record.ID == id {
+			return record, true
+		}
+	}
+	return Query{}, false
+}
--- /dev/null
+++ b/host.go
@@ -0,0 +1,283 @@
+// Package magnoliaworks is a query tier over many shards: the hosts between callers and the backend servers of a search system.
+//
+// A Host takes callers' requests, sends sub-requests for each shard to the home hosts of backend servers,
+// and answers from one snapshot with the coverage that it really reached. docs/ARCHITECTURE.md shows the whole.
+package magnoliaworks
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"magnoliaworks/core/config"
+	"magnoliaworks/core/gather"
+	"magnoliaworks/core/index"
+	"magnoliaworks/core/ledger"
+	"magnoliaworks/core/limit"
+	"magnoliaworks/core/member"
+	"magnoliaworks/core/query"
+	"magnoliaworks/core/route"
+	"magnoliaworks/core/server"
+	"magnoliaworks/core/setup"
+	"magnoliaworks/core/shell"
+	"magnoliaworks/core/spread"
+	"magnoliaworks/core/timer"
+	"magnoliaworks/core/trace"
+	"magnoliaworks/io/admin"
+	"magnoliaworks/io/caller"
+	"magnoliaworks/io/dialer"
+	"magnoliaworks/io/hosts"
+	"magnoliaworks/io/metric"
+	"magnoliaworks/io/peer"
+	"magnoliaworks/io/store"
+)
+
+// Version is the version of the program.
+const Version = "0.1.0"
+
+// budgetBurst is the number of extra sub-requests that a budget grants at once.
+const budgetBurst = 20
+
+// Host is one member of the fleet.
+type Host struct {
+	settings setup.Settings
+	network  Network
+	log      hclog.Logger
+
+	timer    *timer.Service
+	journal  *trace.Journal
+	table    *member.Table
+	register *config.Register
+	routes   *route.Current
+	picker   *route.Picker
+	holdings *index.Holdings
+	budgets  budgets
+	store    *store.Client
+	list     *hosts.Client
+	peers    *peer.Client
+	links    *peer.Links
+	servers  *server.Group
+	spread   *spread.Spread
+	detector *member.Detector
+	book     *ledger.Book
+	gatherer *gather.Gatherer
+	gate     *limit.Gate
+	tasks    *tasks
+	shell    *shell.Shell
+	meter    *metric.Meter
+	door     *caller.Door
+	admin    *admin.Listener
+	service  http.Handler
+	leaving  atomic.Bool
+}
+
+type budgets struct {
+	hedge *limit.Budget
+	retry *limit.Budget
+	cross *limit.Budget
+}
+
+// New returns a host that does nothing until Run is called. It returns an error when TLS files are unusable.
+func New(opts ...Option) (*Host, error) {
+	o := options{
+		settings: setup.Default(),
+		network:  &tcp{},
+		log:      hclog.NewNullLogger(),
+	}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	peerTLS, err := clientTLS(o.settings.PeerTLS)
+	if err != nil {
+		return nil, err
+	}
+	h := &Host{
+		settings: o.settings,
+		network:  o.network,
+		log:      o.log,
+		timer:    timer.New(),
+		journal:  trace.NewJournal(o.log),
+		register: config.NewRegister(),
+		routes:   &route.Current{},
+		holdings: index.NewHoldings(),
+		gate:     limit.NewGate(o.settings.MaxRequests),
+		tasks:    &tasks{},
+		meter:    metric.New(),
+		table:    member.NewTable(selfOf(o.settings)),
+	}
+	h.budgets = newBudgets(config.DefaultFleet().Budgets)
+	h.picker = route.NewPicker(route.Policy(h.settings.Policy), h.settings.DataCentre, h.budgets.cross, h.journal)
+	h.store = store.New(h.settings.StoreAddress, h.dialPlain)
+	h.list = hosts.New(h.settings.HostsAddress, h.dialPlain)
+	h.peers = peer.NewClient(h.table, h.register, h.network.Dial, peerTLS)
+	h.servers = server.New(h.routes, dialer.New(h.network.Dial), h.timer, h.journal)
+	h.links = peer.NewLinks(h.peers, h.settings.ID, h.servers)
+	h.spread = spread.New(h.register, h.table, h.peers, h.store, h.timer, h.journal)
+	h.peers.Report(h.spread)
+	h.detector = member.NewDetector(h.table, h.peers, h.timer, h.spread.Paused)
+	h.book = ledger.New(h.store, h.journal)
+	h.reroute()
+	h.assembleEntry()
+	return h, nil
+}
+
+// assembleEntry builds what callers and operators reach.
+func (h *Host) assembleEntry() {
+	h.gatherer = gather.New(gather.Parts{
+		Self:      h.table.Self(),
+		Routes:    h.routes,
+		Picker:    h.picker,
+		Holdings:  h.holdings,
+		Sender:    h.links,
+		Forwarder: h.peers,
+		Book:      h.book,
+		Journal:   h.journal,
+		Gate:      h.gate,
+		Hedges:    h.budgets.hedge,
+		Retries:   h.budgets.retry,
+		Policy:    route.Policy(h.settings.Policy),
+		Meter:     h.meter,
+		Tasks:     h.tasks,
+	})
+	h.shell = shell.New(shell.Parts{
+		Self:     h.table.Self(),
+		Runner:   runner{host: h},
+		Asker:    h.peers,
+		Servers:  h.servers,
+		Store:    h.store,
+		Register: h.register,
+		Routes:   h.routes,
+		Journal:  h.journal,
+		NewID:    newID,
+	})
+	h.door = caller.New(runner{host: h}, h)
+	h.admin = admin.New(h.shell, h.meter.Handler())
+	h.service = peer.NewService(h.peers, h.servers, h.gatherer, h.shell)
+	h.meter.Gauge("magnoliaworks_requests_in_progress", "Requests of callers in progress.",
+		func() float64 { return float64(h.gate.Inside()) })
+	h.meter.Gauge("magnoliaworks_live_hosts", "Hosts that take work, as this host sees them.",
+		func() float64 { return float64(len(h.table.View().Working())) })
+	h.meter.Gauge("magnoliaworks_homed_servers", "Backend servers that this host gives work to.",
+		func() float64 { return float64(len(h.routes.Load().Homed())) })
+}
+
+// Run serves until ctx ends, and then leaves the fleet without cutting a request.
+func (h *Host) Run(ctx context.Context) error {
+	listeners, err := h.listen()
+	if err != nil {
+		return err
+	}
+	return h.serve(ctx, listeners)
+}
+
+// Request runs a request as a caller would, unless the host may not rely on its configuration.
+// The error is a query.Refusal.
+func (h *Host) Request(ctx context.Context, req query.Request) (query.Answer, error) {
+	if reason, ok := h.spread.Current(); !ok {
+		return query.Answer{}, query.NotRun{
+			Reason:     reason,
+			RetryAfter: time.Second,
+		}
+	}
+	return h.gatherer.Run(ctx, req)
+}
+
+// Ready implements caller.Readiness.
+func (h *Host) Ready() (reason string, ok bool) {
+	if h.leaving.Load() {
+		return "the host is leaving", false
+	}
+	fleet := h.register.State().Fleet()
+	places := []config.Place{
+		{
+			Type: config.DataCentrePlace,
+			Name: h.settings.DataCentre,
+		},
+		{
+			Type: config.HostPlace,
+			Name: h.settings.ID,
+		},
+	}
+	for _, p := range places {
+		if fleet.IsOut(p) {
+			return string(p.Type) + " " + p.Name + " is taken out of service", false
+		}
+	}
+	return h.spread.Current()
+}
+
+// Versions returns the versions of the configuration in force.
+func (h *Host) Versions() []config.ScopeVersion { return h.register.State().Versions() }
+
+// View returns what the host knows of the fleet.
+func (h *Host) View() member.View { return h.table.View() }
+
+// Events returns the remembered decisions about a subject; an empty subject selects all.
+func (h *Host) Events(subject string) []trace.Event { return h.journal.Events(subject) }
+
+// Command runs a command of an operator.
+func (h *Host) Command(ctx context.Context, origin shell.Origin, text string) (shell.Output, error) {
+	return h.shell.Run(ctx, origin, text)
+}
+
+// dialPlain opens a connection to the platform.
+func (h *Host) dialPlain(address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	return h.network.Dial(ctx, "tcp", address)
+}
+
+// dialTimeout bounds the opening of a connection to the platform.
+const dialTimeout = time.Second
+
+// reroute derives the routing table anew from the present configuration and view.
+func (h *Host) reroute() {
+	state := h.register.State()
+	table := route.NewTable(state, h.table.View(), h.table.Self())
+	h.routes.Store(table)
+	b := state.Fleet().Budgets
+	h.budgets.hedge.SetShare(b.Hedge)
+	h.budgets.retry.SetShare(b.Retry)
+	h.budgets.cross.SetShare(b.Cross)
+	known := func(id string) bool {
+		_, ok := table.Find(id)
+		return ok
+	}
+	h.picker.Keep(known)
+	h.holdings.Keep(known)
+}
+
+func selfOf(s setup.Settings) member.Member {
+	return member.Member{
+		ID:              s.ID,
+		Address:         s.PeerAddress,
+		OperatorAddress: s.OperatorAddress,
+		DataCentre:      s.DataCentre,
+		Incarnation:     uint64(time.Now().UnixMilli()),
+		State:           member.Alive,
+	}
+}
+
+func newBudgets(b config.Budgets) budgets {
+	return budgets{
+		hedge: limit.NewBudget(b.Hedge, budgetBurst),
+		retry: limit.NewBudget(b.Retry, budgetBurst),
+		cross: limit.NewBudget(b.Cross, budgetBurst),
+	}
+}
+
+// newID returns a random identifier of 16 hexadecimal digits.
+func newID() string {
+	var id [8]byte
+	if _, err := rand.Read(id[:]); err != nil {
+		panic(errors.Wrap(err, "read random bytes"))
+	}
+	return hex.EncodeToString(id[:])
+}
--- /dev/null
+++ b/io/admin/client.go
@@ -0,0 +1,68 @@
+package admin
+
+import (
+	"crypto/tls"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"magnoliaworks/core/shell"
+)
+
+// commandTimeout bounds one command as seen from its client.
+const commandTimeout = 70 * time.Second
+
+// Client gives commands to a host.
+type Client struct {
+	http fasthttp.HostClient
+}
+
+// NewClient returns a client of the operators' listener at address; a nil tls means plain HTTP.
+func NewClient(address string, tls *tls.Config) *Client {
+	return &Client{
+		http: fasthttp.HostClient{
+			Addr:                      address,
+			IsTLS:                     tls != nil,
+			TLSConfig:                 tls,
+			MaxIdemponentCallAttempts: 1,
+			MaxResponseBodySize:       64 << 20,
+		},
+	}
+}
+
+// Run runs a command; an error of the host is returned as it stands.
+func (c *Client) Run(operator, command string) (shell.Output, error) {
+	body, err := json.Marshal(CommandBody{
+		Operator: operator,
+		Command:  command,
+	})
+	if err != nil {
+		return shell.Output{}, errors.Wrap(err, "encode command")
+	}
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI(c.scheme() + c.http.Addr + CommandPath)
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetBody(body)
+	if err := c.http.DoTimeout(request, response, commandTimeout); err != nil {
+		return shell.Output{}, errors.Wrapf(err, "reach host at %s", c.http.Addr)
+	}
+	var result ResultBody
+	if err := json.Unmarshal(response.Body(), &result); err != nil {
+		return shell.Output{}, errors.Errorf("host at %s: HTTP status %d", c.http.Addr, response.StatusCode())
+	}
+	if result.Error != "" {
+		return result.Output, errors.New(result.Error)
+	}
+	return result.Output, nil
+}
+
+func (c *Client) scheme() string {
+	if c.http.IsTLS {
+		return "https://"
+	}
+	return "http://"
+}
--- /dev/null
+++ b/io/caller/decode.go
@@ -0,0 +1,92 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"time"
+	"unicode/utf8"
+
+	"magnoliaworks/core/query"
+)
+
+// defaultLimit is the number of hits of a request that names none.
+const defaultLimit = 10
+
+// maxDeadline is the longest deadline that a request may name.
+const maxDeadline = time.Minute
+
+// requestBody is the JSON form of a request.
+type requestBody struct {
+	Collection string `json:"collection"`
+	Kind       string `json:"kind"`
+	Text       string `json:"text"`
+	Limit      *int   `json:"limit"`
+	Caller     string `json:"caller"`
+	RequestKey string `json:"request_key"`
+	DeadlineMS *int64 `json:"deadline_ms"`
+}
+
+// decode reads a request and gives it an identifier. The error is a query.Invalid.
+func decode(body []byte) (query.Request, error) {
+	if !utf8.Valid(body) {
+		return query.Request{}, query.Invalid{
+			Field:  "body",
+			Reason: "body is not valid UTF-8",
+		}
+	}
+	var b requestBody
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&b); err != nil {
+		return query.Request{}, query.Invalid{
+			Field:  "body",
+			Reason: err.Error(),
+		}
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return query.Request{}, query.Invalid{
+			Field:  "body",
+			Reason: "body has more than one JSON value",
+		}
+	}
+	return b.request()
+}
+
+func (b requestBody) request() (query.Request, error) {
+	req := query.Request{
+		ID:         newID(),
+		Caller:     b.Caller,
+		Collection: b.Collection,
+		Kind:       b.Kind,
+		Text:       b.Text,
+		Limit:      defaultLimit,
+		Key:        b.RequestKey,
+	}
+	if b.Limit != nil {
+		req.Limit = *b.Limit
+	}
+	if b.DeadlineMS == nil {
+		return req, nil
+	}
+	if *b.DeadlineMS < 1 || *b.DeadlineMS > maxDeadline.Milliseconds() {
+		return query.Request{}, query.Invalid{
+			Field:  "deadline_ms",
+			Reason: "deadline is out of range; permitted: 1 to 60000",
+		}
+	}
+	req.Deadline = time.Duration(*b.DeadlineMS) * time.Millisecond
+	return req, nil
+}
+
+// newID returns a random identifier of 16 hexadecimal digits.
+func newID() string {
+	var id [8]byte
+	n := rand.Uint64()
+	for i := range id {
+		id[i] = byte(n >> (8 * i))
+	}
+	return hex.EncodeToString(id[:])
+}
--- /dev/null
+++ b/io/peer/client.go
@@ -0,0 +1,210 @@
+// Package peer carries messages between hosts over connect-go; docs/PEER-PROTOCOL.md describes them.
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"magnoliaworks/core/config"
+	"magnoliaworks/core/member"
+	"magnoliaworks/core/spread"
+	"magnoliaworks/io/peer/frame"
+)
+
+const (
+	// format is the version of the messages between hosts.
+	format = 1
+	// pingAfter and pingTimeout let HTTP/2 find a silent connection between hosts.
+	pingAfter   = 500 * time.Millisecond
+	pingTimeout = 700 * time.Millisecond
+)
+
+// DialFunc opens a transport connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Client sends messages to other hosts. It implements member.Prober and spread.Peers.
+type Client struct {
+	http   *http.Client
+	scheme string
+	table  *member.Table
+	state  *config.Register
+	// differs is told of peers with another configuration.
+	differs func(member.Member)
+	// contact is called after each reply.
+	contact func()
+
+	mu    sync.Mutex
+	peers map[string]frame.PeerClient
+}
+
+// NewClient returns a client; a nil dial means TCP and a nil tls means plain HTTP/2.
+func NewClient(table *member.Table, state *config.Register, dial DialFunc, tls *tls.Config) *Client {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP2(tls != nil)
+	protocols.SetUnencryptedHTTP2(tls == nil)
+	scheme := "http://"
+	if tls != nil {
+		scheme = "https://"
+	}
+	return &Client{
+		http: &http.Client{
+			Transport: &http.Transport{
+				DialContext:     dial,
+				Protocols:       protocols,
+				TLSClientConfig: tls,
+				HTTP2: &http.HTTP2Config{
+					SendPingTimeout: pingAfter,
+					PingTimeout:     pingTimeout,
+				},
+			},
+		},
+		scheme:  scheme,
+		table:   table,
+		state:   state,
+		differs: func(member.Member) {},
+		contact: func() {},
+		peers:   make(map[string]frame.PeerClient),
+	}
+}
+
+// Report sends news about configurations and contacts to s. It is called before the client is used.
+func (c *Client) Report(s *spread.Spread) {
+	c.differs = s.Differs
+	c.contact = s.Contact
+}
+
+// Close ends idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+func (c *Client) peer(address string) frame.PeerClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.peers[address]
+	if !ok {
+		p = frame.NewPeerClient(c.http, c.scheme+address)
+		c.peers[address] = p
+	}
+	return p
+}
+
+// Forget drops what is kept for addresses for which wanted returns false.
+func (c *Client) Forget(wanted func(address string) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address := range c.peers {
+		if !wanted(address) {
+			delete(c.peers, address)
+		}
+	}
+}
+
+// Ping implements member.Prober.
+func (c *Client) Ping(ctx context.Context, to member.Member) error {
+	return c.ping(ctx, to.Address, "")
+}
+
+// PingVia implements member.Prober.
+func (c *Client) PingVia(ctx context.Context, via, to member.Member) error {
+	return c.ping(ctx, via.Address, to.Address)
+}
+
+// Join asks the host at address for the whole view.
+func (c *Client) Join(ctx context.Context, address string) error {
+	return c.ping(ctx, address, "")
+}
+
+func (c *Client) ping(ctx context.Context, address, via string) error {
+	view := c.table.View()
+	request := &frame.PingRequest{
+		Sender:     selfMember(c.table, c.state),
+		ViewDigest: view.Digest(),
+		News:       memberFrames(c.table.News()),
+		Via:        via,
+		Whole:      len(view.Members()) == 1,
+		Format:     format,
+	}
+	reply, err := c.peer(address).Ping(ctx, newRequest(request))
+	if err != nil {
+		return errors.Wrapf(err, "ping host at %s", address)
+	}
+	sender := c.take(reply.Msg)
+	if via != "" && !reply.Msg.GetReached() {
+		return errors.Errorf("host at %s does not reach %s", address, via)
+	}
+	if via == "" && reply.Msg.GetViewDigest() != c.table.View().Digest() && len(reply.Msg.GetNews()) == 0 {
+		return c.pushView(ctx, sender.Address)
+	}
+	return nil
+}
+
+// pushView sends the whole view to a host whose view differs for a reason that recent news do not explain.
+func (c *Client) pushView(ctx context.Context, address string) error {
+	reply, err := c.peer(address).Ping(ctx, newRequest(&frame.PingRequest{
+		Sender:     selfMember(c.table, c.state),
+		ViewDigest: c.table.View().Digest(),
+		News:       memberFrames(c.table.View().Members()),
+		Whole:      true,
+		Format:     format,
+	}))
+	if err != nil {
+		return errors.Wrapf(err, "send view to host at %s", address)
+	}
+	c.take(reply.Msg)
+	return nil
+}
+
+func (c *Client) take(reply *frame.PingReply) member.Member {
+	c.contact()
+	sender := memberOf(reply.GetSender())
+	c.table.Learn(append(membersOf(reply.GetNews()), sender)...)
+	if reply.GetSender().GetConfigDigest() != c.state.State().Digest() {
+		c.differs(sender)
+	}
+	return sender
+}
+
+// Pull implements spread.Peers.
+func (c *Client) Pull(ctx context.Context, from member.Member, have []config.ScopeVersion) ([]config.Object, error) {
+	request := &frame.PullRequest{
+		Have: make([]*frame.ScopeVersion, len(have)),
+	}
+	for i, h := range have {
+		request.Have[i] = &frame.ScopeVersion{
+			Scope:   h.Scope,
+			Version: h.Version,
+		}
+	}
+	reply, err := c.peer(from.Address).Pull(ctx, newRequest(request))
+	if err != nil {
+		return nil, errors.Wrapf(err, "pull configuration from host %s", from.ID)
+	}
+	objects := make([]config.Object, 0, len(reply.Msg.GetObjects()))
+	for _, o := range reply.Msg.GetObjects() {
+		object, err := config.DecodePeer(o.GetScope(), o.GetValue())
+		if err != nil {
+			return nil, errors.Wrapf(err, "pull configuration from host %s", from.ID)
+		}
+		objects = append(objects, object)
+	}
+	return objects, nil
+}
+
+// Ask runs an operator's read-only command on another host and returns its text.
+func (c *Client) Ask(ctx context.Context, to member.Member, command string) (string, error) {
+	reply, err := c.peer(to.Address).Ask(ctx, newRequest(&frame.AskRequest{
+		Command: command,
+	}))
+	if err != nil {
+		return "", errors.Wrapf(err, "ask host %s", to.ID)
+	}
+	return reply.Msg.GetText(), nil
+}
--- /dev/null
+++ b/io/peer/convert.go
@@ -0,0 +1,185 @@
+package peer
+
+import (
+	"time"
+
+	"connectrpc.com/connect"
+
+	"magnoliaworks/core/config"
+	"magnoliaworks/core/member"
+	"magnoliaworks/core/query"
+	"magnoliaworks/io/peer/frame"
+)
+
+func newRequest[T any](message *T) *connect.Request[T] { return connect.NewRequest(message) }
+
+func selfMember(table *member.Table, state *config.Register) *frame.Member {
+	self := memberFrame(table.Self())
+	self.ConfigDigest = state.State().Digest()
+	return self
+}
+
+func memberFrame(m member.Member) *frame.Member {
+	return &frame.Member{
+		Id:              m.ID,
+		Address:         m.Address,
+		OperatorAddress: m.OperatorAddress,
+		DataCentre:      m.DataCentre,
+		Incarnation:     m.Incarnation,
+		State:           uint32(m.State),
+	}
+}
+
+func memberFrames(members []member.Member) []*frame.Member {
+	frames := make([]*frame.Member, len(members))
+	for i, m := range members {
+		frames[i] = memberFrame(m)
+	}
+	return frames
+}
+
+func memberOf(f *frame.Member) member.Member {
+	return member.Member{
+		ID:              f.GetId(),
+		Address:         f.GetAddress(),
+		OperatorAddress: f.GetOperatorAddress(),
+		DataCentre:      f.GetDataCentre(),
+		Incarnation:     f.GetIncarnation(),
+		State:           member.State(f.GetState()),
+	}
+}
+
+func membersOf(frames []*frame.Member) []member.Member {
+	members := make([]member.Member, len(frames))
+	for i, f := range frames {
+		members[i] = memberOf(f)
+	}
+	return members
+}
+
+func subFrame(sequence uint64, s query.Sub) *frame.Sub {
+	return &frame.Sub{
+		Sequence:       sequence,
+		RequestId:      s.RequestID,
+		Attempt:        s.Attempt,
+		Server:         s.Server,
+		Shard:          s.Shard,
+		Snapshot:       s.Snapshot,
+		Collection:     s.Collection,
+		Kind:           s.Kind,
+		Text:           s.Text,
+		Limit:          uint32(s.Limit),
+		RemainingMs:    uint32(max(time.Until(s.Until).Milliseconds(), 1)),
+		Priority:       uint32(s.Priority),
+		IdempotencyKey: s.Key,
+	}
+}
+
+func subOf(f *frame.Sub, now time.Time) query.Sub {
+	return query.Sub{
+		RequestID:  f.GetRequestId(),
+		Attempt:    f.GetAttempt(),
+		Server:     f.GetServer(),
+		Shard:      f.GetShard(),
+		Snapshot:   f.GetSnapshot(),
+		Collection: f.GetCollection(),
+		Kind:       f.GetKind(),
+		Text:       f.GetText(),
+		Limit:      int(f.GetLimit()),
+		Priority:   int(f.GetPriority()),
+		Key:        f.GetIdempotencyKey(),
+		Until:      now.Add(time.Duration(f.GetRemainingMs()) * time.Millisecond),
+	}
+}
+
+func resultFrame(sequence uint64, result query.Result) *frame.Result {
+	f := &frame.Result{
+		Sequence: sequence,
+	}
+	switch r := result.(type) {
+	case query.Done:
+		f.Status = frame.Status_STATUS_DONE
+		if !r.Whole {
+			f.Status = frame.Status_STATUS_CUT_SHORT
+		}
+		f.Snapshot = r.Snapshot
+		f.Hits = hitFrames(r.Hits)
+		putHint(f, r.Hint)
+	case query.Absent:
+		f.Status = frame.Status_STATUS_SNAPSHOT_ABSENT
+		putHint(f, r.Hint)
+	case query.Unsent:
+		f.Status = frame.Status_STATUS_NOT_RUN
+		f.Reason = r.Reason
+		putHint(f, r.Hint)
+	case query.Failed:
+		f.Status = frame.Status_STATUS_FAILED
+		f.Reason = r.Reason
+	}
+	return f
+}
+
+func resultOf(f *frame.Result, shard string) query.Result {
+	switch f.GetStatus() {
+	case frame.Status_STATUS_DONE, frame.Status_STATUS_CUT_SHORT:
+		return query.Done{
+			Snapshot: f.GetSnapshot(),
+			Whole:    f.GetStatus() == frame.Status_STATUS_DONE,
+			Hits:     hitsOf(f.GetHits(), shard),
+			Hint:     hintOf(f),
+		}
+	case frame.Status_STATUS_SNAPSHOT_ABSENT:
+		return query.Absent{
+			Hint: hintOf(f),
+		}
+	case frame.Status_STATUS_NOT_RUN:
+		return query.Unsent{
+			Reason: f.GetReason(),
+			Hint:   hintOf(f),
+		}
+	default:
+		return query.Failed{
+			Reason: f.GetReason(),
+		}
+	}
+}
+
+func putHint(f *frame.Result, h query.Hint) {
+	f.OldestSnapshot = h.OldestSnapshot
+	f.NewestSnapshot = h.NewestSnapshot
+	f.WaitUs = uint32(h.Wait.Microseconds())
+	f.ServiceUs = uint32(h.Service.Microseconds())
+}
+
+func hintOf(f *frame.Result) query.Hint {
+	return query.Hint{
+		OldestSnapshot: f.GetOldestSnapshot(),
+		NewestSnapshot: f.GetNewestSnapshot(),
+		Wait:           time.Duration(f.GetWaitUs()) * time.Microsecond,
+		Service:        time.Duration(f.GetServiceUs()) * time.Microsecond,
+	}
+}
+
+func hitFrames(hits []query.Hit) []*frame.Hit {
+	frames := make([]*frame.Hit, len(hits))
+	block := make([]frame.Hit, len(hits))
+	for i, h := range hits {
+		f := &block[i]
+		f.Id, f.Score, f.Title = h.ID, h.Score, h.Title
+		frames[i] = f
+	}
+	return frames
+}
+
+func hitsOf(frames []*frame.Hit, shard string) []query.Hit {
+	hits := make([]query.Hit, len(frames))
+	for i, f := range frames {
+		hits[i] = query.Hit{
+			ID:    f.GetId(),
+			Score: f.GetScore(),
+			Title: f.GetTitle(),
+			Shard: shard,
+		}
+	}
+	return hits
+}
--- /dev/null
+++ b/io/peer/order.go
@@ -0,0 +1,130 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"magnoliaworks/core/gather"
+	"magnoliaworks/core/member"
+	"magnoliaworks/core/query"
+	"magnoliaworks/io/peer/frame"
+)
+
+// The states of an OrderReply.
+const (
+	orderDone uint32 = iota + 1
+	orderNotRun
+	orderUnknown
+	orderInvalid
+)
+
+// orderMargin is the time that a forwarded request leaves for its reply to come back.
+const orderMargin = 10 * time.Millisecond
+
+// retryAfter is the wait that is advised after a forwarded request was not run.
+const retryAfter = time.Second
+
+// Forward implements gather.Forwarder.
+func (c *Client) Forward(ctx context.Context, to member.Member, req query.Request) (query.Answer, error) {
+	until, _ := ctx.Deadline()
+	reply, err := c.peer(to.Address).Order(ctx, newRequest(&frame.OrderRequest{
+		RequestId:   req.ID,
+		Caller:      req.Caller,
+		Key:         req.Key,
+		Collection:  req.Collection,
+		Kind:        req.Kind,
+		Text:        req.Text,
+		Limit:       uint32(req.Limit),
+		RemainingMs: uint32(max(time.Until(until)-orderMargin, time.Millisecond).Milliseconds()),
+	}))
+	if err != nil {
+		return query.Answer{}, forwardError(to, err)
+	}
+	return orderAnswer(reply.Msg)
+}
+
+// forwardError tells a host that could not be connected to from one that may have the request.
+func forwardError(to member.Member, err error) error {
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return errors.Wrapf(gather.ErrNotForwarded, "host %s: %v", to.ID, err)
+	}
+	return errors.Wrapf(err, "forward to host %s", to.ID)
+}
+
+func orderAnswer(reply *frame.OrderReply) (query.Answer, error) {
+	switch reply.GetState() {
+	case orderDone:
+		return query.Answer{
+			Snapshot: reply.GetSnapshot(),
+			Coverage: query.Coverage{
+				Answered: 1,
+				Total:    1,
+			},
+			Hits: hitsOf(reply.GetHits(), ""),
+		}, nil
+	case orderNotRun:
+		return query.Answer{}, query.NotRun{
+			Reason:     reply.GetReason(),
+			RetryAfter: retryAfter,
+		}
+	case orderInvalid:
+		return query.Answer{}, query.Invalid{
+			Field:  "key",
+			Reason: reply.GetReason(),
+		}
+	default:
+		return query.Answer{}, query.OutcomeUnknown{
+			Reason: reply.GetReason(),
+		}
+	}
+}
+
+// Order implements frame.PeerHandler.
+func (s *Service) Order(ctx context.Context, request *connect.Request[frame.OrderRequest]) (*connect.Response[frame.OrderReply], error) {
+	m := request.Msg
+	limit := time.Duration(m.GetRemainingMs()) * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+	defer cancel()
+	answer, err := s.writer.WriteFor(ctx, query.Request{
+		ID:         m.GetRequestId(),
+		Caller:     m.GetCaller(),
+		Key:        m.GetKey(),
+		Collection: m.GetCollection(),
+		Kind:       m.GetKind(),
+		Text:       m.GetText(),
+		Limit:      int(m.GetLimit()),
+		Deadline:   limit,
+	})
+	return connect.NewResponse(orderReply(answer, err)), nil
+}
+
+func orderReply(answer query.Answer, err error) *frame.OrderReply {
+	switch refusal := err.(type) {
+	case nil:
+		return &frame.OrderReply{
+			State:    orderDone,
+			Snapshot: answer.Snapshot,
+			Hits:     hitFrames(answer.Hits),
+		}
+	case query.NotRun:
+		return &frame.OrderReply{
+			State:  orderNotRun,
+			Reason: refusal.Reason,
+		}
+	case query.Invalid:
+		return &frame.OrderReply{
+			State:  orderInvalid,
+			Reason: refusal.Reason,
+		}
+	default:
+		return &frame.OrderReply{
+			State:  orderUnknown,
+			Reason: err.Error(),
+		}
+	}
+}
--- /dev/null
+++ b/io/store/client.go
@@ -0,0 +1,151 @@
+// Package store speaks the platform's object API over HTTP; docs/STORE-PROTOCOL.md describes it.
+// Another API of the platform changes this package alone.
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"magnoliaworks/core/object"
+	"magnoliaworks/core/spread"
+)
+
+// Names of the protocol.
+const (
+	ObjectPath    = "/objects/"
+	WatchPath     = "/watch"
+	VersionHeader = "X-Version"
+	IfVersion     = "X-If-Version"
+)
+
+const (
+	callTimeout = time.Second
+	// watchTimeout is the time that the platform holds a watch without news.
+	watchTimeout = 5 * time.Second
+	// watchGrace is the time beyond watchTimeout after which a watch counts as failed.
+	watchGrace = time.Second
+	// maxConnections bounds the connections of a host to the store.
+	maxConnections = 16
+	// maxResponse bounds the body of a response in bytes.
+	maxResponse = 64 << 20
+)
+
+// Client reads, writes and watches objects. It implements object.Store.
+type Client struct {
+	http fasthttp.HostClient
+}
+
+// New returns a client of the store at address; a nil dial means TCP.
+func New(address string, dial func(address string) (net.Conn, error)) *Client {
+	return &Client{
+		http: fasthttp.HostClient{
+			Addr:                      address,
+			Dial:                      dial,
+			MaxConns:                  maxConnections,
+			MaxIdemponentCallAttempts: 1,
+			DisablePathNormalizing:    true,
+			NoDefaultUserAgentHeader:  true,
+			MaxResponseBodySize:       maxResponse,
+			RetryIfErr:                neverRetry,
+		},
+	}
+}
+
+// Get implements object.Store.
+func (c *Client) Get(ctx context.Context, key string) (object.Object, error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI(c.uri(ObjectPath + key))
+	if err := c.do(ctx, request, response, callTimeout); err != nil {
+		return object.Object{}, errors.Wrapf(err, "get %s from the store", key)
+	}
+	switch code := response.StatusCode(); code {
+	case fasthttp.StatusOK:
+		version, err := versionOf(response)
+		return object.Object{
+			Key:     key,
+			Version: version,
+			Value:   append([]byte(nil), response.Body()...),
+		}, errors.Wrapf(err, "get %s from the store", key)
+	case fasthttp.StatusNotFound:
+		return object.Object{}, errors.Wrapf(object.ErrAbsent, "get %s from the store", key)
+	default:
+		return object.Object{}, errors.Errorf("get %s from the store: HTTP status %d", key, code)
+	}
+}
+
+// Put implements object.Store.
+func (c *Client) Put(ctx context.Context, key string, value []byte, have uint64) (uint64, error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI(c.uri(ObjectPath + key))
+	request.Header.SetMethod(fasthttp.MethodPut)
+	request.Header.Set(IfVersion, strconv.FormatUint(have, 10))
+	request.SetBodyRaw(value)
+	if err := c.do(ctx, request, response, callTimeout); err != nil {
+		return 0, errors.Wrapf(err, "put %s to the store", key)
+	}
+	switch code := response.StatusCode(); code {
+	case fasthttp.StatusOK:
+		version, err := versionOf(response)
+		return version, errors.Wrapf(err, "put %s to the store", key)
+	case fasthttp.StatusConflict:
+		return 0, errors.Wrapf(object.ErrConflict, "put %s to the store", key)
+	default:
+		return 0, errors.Errorf("put %s to the store: HTTP status %d", key, code)
+	}
+}
+
+// Changes implements spread.Watchable.
+func (c *Client) Changes(ctx context.Context, after uint64) ([]spread.Stored, uint64, error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	query := url.Values{
+		"after":   {strconv.FormatUint(after, 10)},
+		"wait_ms": {strconv.FormatInt(watchTimeout.Milliseconds(), 10)},
+		"prefix":  {"config/", "index/"},
+	}
+	request.SetRequestURI(c.uri(WatchPath + "?" + query.Encode()))
+	if err := c.do(ctx, request, response, watchTimeout+watchGrace); err != nil {
+		return nil, 0, errors.Wrap(err, "watch the store")
+	}
+	if code := response.StatusCode(); code != fasthttp.StatusOK {
+		return nil, 0, errors.Errorf("watch the store: HTTP status %d", code)
+	}
+	var changes Changes
+	if err := json.Unmarshal(response.Body(), &changes); err != nil {
+		return nil, 0, errors.Wrap(err, "decode watch of the store")
+	}
+	return changes.stored(), changes.Revision, nil
+}
+
+func (c *Client) uri(path string) string { return "http://" + c.http.Addr + path }
+
+// do runs a call within the shorter of ctx and timeout.
+func (c *Client) do(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response, timeout time.Duration) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	until := time.Now().Add(timeout)
+	if deadline, ok := ctx.Deadline(); ok && deadline.Before(until) {
+		until = deadline
+	}
+	return c.http.DoDeadline(request, response, until)
+}
+
+func versionOf(response *fasthttp.Response) (uint64, error) {
+	return strconv.ParseUint(string(response.Header.Peek(VersionHeader)), 10, 64)
+}
+
+// neverRetry leaves it to the caller to find out whether a call took effect.
+func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
--- /dev/null
+++ b/stand/load/fleet.go
@@ -0,0 +1,198 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"magnoliaworks"
+	"magnoliaworks/core/setup"
+	"magnoliaworks/io/hosts"
+	"magnoliaworks/stand"
+)
+
+const (
+	// hostLeaveWait is the time between the announcement of leaving and the end of the caller listener.
+	hostLeaveWait = time.Second
+	// readyTimeout bounds the start of a fleet.
+	readyTimeout = 20 * time.Second
+	// readyStep is the time between two looks at whether a fleet is ready.
+	readyStep = 20 * time.Millisecond
+)
+
+// Fleet is a set of hosts in this process.
+type Fleet struct {
+	platform *stand.Platform
+	policy   string
+	log      hclog.Logger
+	settings []setup.Settings
+
+	mu    sync.Mutex
+	hosts []*member
+	ctx   context.Context
+	tasks errgroup.Group
+}
+
+// member is one running host.
+type member struct {
+	settings setup.Settings
+	host     *magnoliaworks.Host
+	stop     context.CancelFunc
+	ended    chan struct{}
+	leaving  bool
+}
+
+// NewFleet starts n hosts spread over the data centres and waits until all are ready and know each other.
+func NewFleet(ctx context.Context, p *stand.Platform, n int, policy string, log hclog.Logger) (*Fleet, error) {
+	f := &Fleet{
+		platform: p,
+		policy:   policy,
+		log:      log,
+		ctx:      ctx,
+		hosts:    make([]*member, n),
+	}
+	for i := range n {
+		s, err := f.newSettings(i)
+		if err != nil {
+			return nil, err
+		}
+		f.settings = append(f.settings, s)
+	}
+	f.publishList()
+	for i := range n {
+		if err := f.start(i); err != nil {
+			return nil, err
+		}
+	}
+	return f, f.untilReady(ctx)
+}
+
+func (f *Fleet) newSettings(i int) (setup.Settings, error) {
+	s := setup.Default()
+	s.ID = fmt.Sprintf("host-%d", i+1)
+	s.DataCentre = f.platform.Plan.DataCentres[i%len(f.platform.Plan.DataCentres)]
+	s.StoreAddress = f.platform.StoreAddress
+	s.HostsAddress = f.platform.StoreAddress
+	s.Policy = f.policy
+	s.LeaveWait = hostLeaveWait
+	for _, address := range []*string{&s.CallerAddress, &s.OperatorAddress, &s.PeerAddress} {
+		free, err := f.platform.Network.Address(s.DataCentre, s.ID)
+		if err != nil {
+			return setup.Settings{}, err
+		}
+		*address = free
+	}
+	return s, nil
+}
+
+func (f *Fleet) publishList() {
+	list := make([]hosts.Host, len(f.settings))
+	for i, s := range f.settings {
+		list[i] = hosts.Host{
+			ID:         s.ID,
+			Address:    s.PeerAddress,
+			DataCentre: s.DataCentre,
+			State:      hosts.Live,
+		}
+	}
+	f.platform.SetHosts(list)
+}
+
+// start runs the i-th host anew.
+func (f *Fleet) start(i int) error {
+	s := f.settings[i]
+	host, err := magnoliaworks.New(
+		magnoliaworks.WithSettings(s),
+		magnoliaworks.WithNetwork(f.platform.Network.Side(s.DataCentre, s.ID)),
+		magnoliaworks.WithLogger(f.log.Named(s.ID)),
+	)
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(f.ctx)
+	m := &member{
+		settings: s,
+		host:     host,
+		stop:     stop,
+		ended:    make(chan struct{}),
+	}
+	f.mu.Lock()
+	f.hosts[i] = m
+	f.mu.Unlock()
+	f.tasks.Go(func() error {
+		defer close(m.ended)
+		return host.Run(ctx)
+	})
+	return nil
+}
+
+// untilReady waits until every host is ready and sees all others.
+func (f *Fleet) untilReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for !f.complete() {
+		if err := sleep(ctx, readyStep); err != nil {
+			return errors.Errorf("hosts are not ready after %s", readyTimeout)
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) complete() bool {
+	for _, m := range f.members() {
+		if _, ok := m.host.Ready(); !ok || len(m.host.View().Working()) < len(f.settings) {
+			return false
+		}
+	}
+	return true
+}
+
+// members returns the present hosts.
+func (f *Fleet) members() []*member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]*member(nil), f.hosts...)
+}
+
+// Restart ends a host gracefully and starts it anew.
+func (f *Fleet) Restart(i int) error {
+	m := f.members()[i]
+	f.mu.Lock()
+	m.leaving = true
+	f.mu.Unlock()
+	m.stop()
+	<-m.ended
+	return f.start(i)
+}
+
+// Host returns the i-th host.
+func (f *Fleet) Host(i int) *magnoliaworks.Host { return f.members()[i].host }
+
+// Settings returns the settings of the i-th host.
+func (f *Fleet) Settings(i int) setup.Settings { return f.settings[i] }
+
+// Stop ends all hosts gracefully.
+func (f *Fleet) Stop() error {
+	for _, m := range f.members() {
+		if m != nil {
+			m.stop()
+		}
+	}
+	return f.tasks.Wait()
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/stand/load/once.go
@@ -0,0 +1,58 @@
+package load
+
+import (
+	"fmt"
+	"time"
+
+	"magnoliaworks/core/plan"
+)
+
+// OneOfEach sends one request of every kind through a host's caller port.
+// It returns a line for each and the promises that were broken; a request without an answer counts as lost.
+func OneOfEach(f *Fleet) ([]string, Violations) {
+	r := &run{
+		config: Config{
+			Plan: f.platform.Plan,
+		},
+		platform: f.platform,
+		fleet:    f,
+		tally:    newTally(f.platform),
+	}
+	r.client = newClient(r)
+	defer r.client.close()
+	var lines []string
+	missing := 0
+	for _, c := range f.platform.Plan.Collections {
+		for i := range c.Kinds {
+			line, ok := r.one(c, i, len(lines))
+			lines = append(lines, line)
+			if !ok {
+				missing++
+			}
+		}
+	}
+	r.tally.mu.Lock()
+	defer r.tally.mu.Unlock()
+	violations := r.tally.violations()
+	violations.Lost += missing
+	return lines, violations
+}
+
+func (r *run) one(c plan.Collection, kind, number int) (line string, ok bool) {
+	a := arrival{
+		number:     number,
+		due:        time.Now(),
+		counted:    true,
+		collection: c.Name,
+		kind:       c.Kinds[kind],
+	}
+	text, key := r.client.words(a)
+	reply := r.client.send(a, text, key)
+	r.tally.told(a, text, key, reply)
+	if reply.err != nil || reply.status != statusOK {
+		return fmt.Sprintf("  %s %s: HTTP status %d %s %v", c.Name, a.kind.Name, reply.status, reply.refusal, reply.err), false
+	}
+	return fmt.Sprintf("  %s %s: snapshot %d, coverage %d of %d, %d hits, %.1f ms", c.Name, a.kind.Name,
+		reply.answer.Snapshot, reply.answer.Coverage.Answered, reply.answer.Coverage.Total,
+		len(reply.answer.Hits), reply.answer.TookMS), true
+}
--- /dev/null
+++ b/stand/load/report.go
@@ -0,0 +1,119 @@
+package load
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+)
+
+// Report is the result of an experiment.
+type Report struct {
+	Requests             int                   `json:"requests"`
+	Answered             int                   `json:"answered"`
+	Refused              int                   `json:"refused"`
+	P50MS                float64               `json:"p50_ms"`
+	P99MS                float64               `json:"p99_ms"`
+	P999MS               float64               `json:"p999_ms"`
+	CoverageMean         float64               `json:"coverage_mean"`
+	CoverageFullShare    float64               `json:"coverage_full_share"`
+	ExtraLoadShare       float64               `json:"extra_load_share"`
+	CrossDataCentreShare float64               `json:"cross_data_centre_share"`
+	ByKind               map[string]KindReport `json:"by_kind"`
+	Violations           Violations            `json:"violations"`
+}
+
+// KindReport is the part of a report that concerns one kind of request.
+type KindReport struct {
+	Requests          int            `json:"requests"`
+	Answered          int            `json:"answered"`
+	Refused           map[string]int `json:"refused"`
+	P50MS             float64        `json:"p50_ms"`
+	P99MS             float64        `json:"p99_ms"`
+	CoverageMean      float64        `json:"coverage_mean"`
+	CoverageFullShare float64        `json:"coverage_full_share"`
+}
+
+// Violations counts broken promises.
+type Violations struct {
+	SnapshotMixed  int `json:"snapshot_mixed"`
+	CoverageFalse  int `json:"coverage_false"`
+	ColdOverload   int `json:"cold_overload"`
+	DrainedWork    int `json:"drained_work"`
+	LeavingWork    int `json:"leaving_work"`
+	CrossedAnswers int `json:"crossed_answers"`
+	NotRunButRun   int `json:"not_run_but_run"`
+	RunTwice       int `json:"run_twice"`
+	Lost           int `json:"lost"`
+	CutByShutdown  int `json:"cut_by_shutdown"`
+	ConfigReverted int `json:"config_reverted"`
+}
+
+// Any reports whether any promise was broken.
+func (v Violations) Any() bool { return v != Violations{} }
+
+// JSON renders the report as one object.
+func (r Report) JSON() ([]byte, error) {
+	encoded, err := json.MarshalIndent(r, "", "  ")
+	return append(encoded, '\n'), errors.Wrap(err, "encode report")
+}
+
+func (t *tally) report() Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := Report{
+		P50MS:      quantile(t.all, 50),
+		P99MS:      quantile(t.all, 99),
+		P999MS:     quantile(t.all, 99.9),
+		ByKind:     make(map[string]KindReport),
+		Violations: t.violations(),
+	}
+	coverage, full := 0.0, 0
+	for name, k := range t.kinds {
+		r.Requests += k.requests
+		r.Answered += k.answered
+		coverage += k.coverage
+		full += k.full
+		r.ByKind[name] = k.report()
+	}
+	r.Refused = r.Requests - r.Answered
+	r.CoverageMean = share(coverage, r.Answered)
+	r.CoverageFullShare = share(float64(full), r.Requests)
+	r.CrossDataCentreShare = share(float64(t.crossed), t.subs)
+	r.ExtraLoadShare = t.extraLoad()
+	return r
+}
+
+// extraLoad returns the runs beyond one for each shard of a search, as a share of those shards.
+func (t *tally) extraLoad() float64 {
+	if t.needed == 0 {
+		return 0
+	}
+	return float64(t.subs-t.needed) / float64(t.needed)
+}
+
+func (k *kindTally) report() KindReport {
+	return KindReport{
+		Requests:          k.requests,
+		Answered:          k.answered,
+		Refused:           k.refused,
+		P50MS:             quantile(k.latency, 50),
+		P99MS:             quantile(k.latency, 99),
+		CoverageMean:      share(k.coverage, k.answered),
+		CoverageFullShare: share(float64(k.full), k.requests),
+	}
+}
+
+func quantile(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1000
+}
+
+func share(part float64, of int) float64 {
+	if of == 0 {
+		return 0
+	}
+	return part / float64(of)
+}
+
+func uintText(n uint64) string { return strconv.FormatUint(n, 10) }
--- /dev/null
+++ b/stand/record.go
@@ -0,0 +1,112 @@
+package stand
+
+import (
+	"sync"
+	"time"
+)
+
+// Record is what the stand-ins really did.
+type Record struct {
+	mu   sync.Mutex
+	runs map[string][]Run
+	// keys counts the runs of requests that may not be repeated.
+	keys     map[string]int
+	received int
+	// The rest counts work that a server should not have been given.
+	coldOverload int
+	drainedWork  int
+	leavingWork  int
+}
+
+// Run is one sub-request that a server ran.
+type Run struct {
+	Server     string
+	DataCentre string
+	Shard      string
+	Snapshot   uint64
+	At         time.Time
+	// Whole is set when the shard was searched to its end and the reply was handed to the network.
+	Whole bool
+}
+
+// Faulty are the counts of work that servers should not have been given.
+type Faulty struct {
+	ColdOverload int
+	DrainedWork  int
+	LeavingWork  int
+}
+
+// NewRecord returns an empty record.
+func NewRecord() *Record {
+	return &Record{
+		runs: make(map[string][]Run),
+		keys: make(map[string]int),
+	}
+}
+
+// Runs returns the runs of a request.
+func (r *Record) Runs(requestID string) []Run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Run(nil), r.runs[requestID]...)
+}
+
+// KeyRuns returns the number of runs of a request that may not be repeated.
+func (r *Record) KeyRuns(key string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.keys[key]
+}
+
+// Keys returns the number of runs of each request that may not be repeated.
+func (r *Record) Keys() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	keys := make(map[string]int, len(r.keys))
+	for k, n := range r.keys {
+		keys[k] = n
+	}
+	return keys
+}
+
+// Received returns the number of sub-requests that reached a server.
+func (r *Record) Received() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.received
+}
+
+// Faulty returns the counts of work that servers should not have been given.
+func (r *Record) Faulty() Faulty {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Faulty{
+		ColdOverload: r.coldOverload,
+		DrainedWork:  r.drainedWork,
+		LeavingWork:  r.leavingWork,
+	}
+}
+
+// Begin notes a run and returns its place.
+func (r *Record) Begin(requestID, key string, run Run) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs[requestID] = append(r.runs[requestID], run)
+	if key != "" {
+		r.keys[key]++
+	}
+	return len(r.runs[requestID]) - 1
+}
+
+// End notes that a run has searched its shard whole.
+func (r *Record) End(requestID string, place int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs[requestID][place].Whole = true
+}
+
+func (r *Record) note(change func(r *Record)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change(r)
+}
--- /dev/null
+++ b/stand/store.go
@@ -0,0 +1,249 @@
+package stand
+
+import (
+	"encoding/json"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"magnoliaworks/io/hosts"
+	"magnoliaworks/io/store"
+)
+
+const (
+	// maxValue is the size in bytes of the largest value.
+	maxValue = 1 << 20
+	// watchStep is the time between two looks of a waiting watch.
+	watchStep = 20 * time.Millisecond
+)
+
+// StoreFaults are the faults of the store that are switched on.
+type StoreFaults struct {
+	Down bool
+	// Slow is added to the latency of each call.
+	Slow time.Duration
+	// LoseReply makes writes take effect without a reply, each with this chance in percent.
+	LoseReply int
+	// Stale makes reads return the version before the newest.
+	Stale bool
+}
+
+// Calls counts the calls of the store; a waiting watch is one.
+type Calls struct {
+	Reads   int
+	Writes  int
+	Watches int
+}
+
+// Store is a stand-in of the platform's object API and of its list of hosts.
+type Store struct {
+	latency time.Duration
+
+	mu       sync.Mutex
+	objects  map[string]stored
+	previous map[string]stored
+	revision uint64
+	faults   StoreFaults
+	calls    Calls
+	turn     int
+	list     []hosts.Host
+	http     *fasthttp.Server
+}
+
+type stored struct {
+	value   []byte
+	version uint64
+}
+
+// NewStore returns an empty store that answers after the latency.
+func NewStore(latency time.Duration) *Store {
+	s := &Store{
+		latency:  latency,
+		objects:  make(map[string]stored),
+		previous: make(map[string]stored),
+		revision: 1,
+	}
+	s.http = &fasthttp.Server{
+		Handler:               s.handle,
+		MaxRequestBodySize:    2 * maxValue,
+		CloseOnShutdown:       true,
+		NoDefaultServerHeader: true,
+		NoDefaultDate:         true,
+	}
+	return s
+}
+
+// Serve answers on the listener until it is closed.
+func (s *Store) Serve(l net.Listener) error { return s.http.Serve(l) }
+
+// SetFaults switches faults.
+func (s *Store) SetFaults(f StoreFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() Calls {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// SetList replaces the list of hosts.
+func (s *Store) SetList(list []hosts.Host) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list = list
+}
+
+// Seed stores an object without a call.
+func (s *Store) Seed(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(key, value)
+}
+
+// Value returns the newest value of a key.
+func (s *Store) Value(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.objects[key].value
+}
+
+func (s *Store) write(key string, value []byte) uint64 {
+	s.revision++
+	s.previous[key] = s.objects[key]
+	s.objects[key] = stored{
+		value:   append([]byte(nil), value...),
+		version: s.revision,
+	}
+	return s.revision
+}
+
+func (s *Store) handle(c *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	faults := s.faults
+	s.mu.Unlock()
+	time.Sleep(s.latency + faults.Slow)
+	if faults.Down {
+		c.Error("store is down", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	path := string(c.Path())
+	switch {
+	case path == hosts.ListPath:
+		s.hostList(c)
+	case path == store.WatchPath:
+		s.watch(c)
+	case strings.HasPrefix(path, store.ObjectPath) && c.IsGet():
+		s.get(c, strings.TrimPrefix(path, store.ObjectPath), faults)
+	case strings.HasPrefix(path, store.ObjectPath) && c.IsPut():
+		s.put(c, strings.TrimPrefix(path, store.ObjectPath), faults)
+	default:
+		c.Error("path does not exist", fasthttp.StatusNotFound)
+	}
+}
+
+func (s *Store) hostList(c *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls.Reads++
+	writeJSON(c, s.list)
+}
+
+func (s *Store) get(c *fasthttp.RequestCtx, key string, faults StoreFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls.Reads++
+	o, ok := s.objects[key]
+	if older, had := s.previous[key]; faults.Stale && had {
+		o, ok = older, older.version > 0
+	}
+	if !ok {
+		c.Error("object does not exist", fasthttp.StatusNotFound)
+		return
+	}
+	c.Response.Header.Set(store.VersionHeader, strconv.FormatUint(o.version, 10))
+	c.SetBody(o.value)
+}
+
+func (s *Store) put(c *fasthttp.RequestCtx, key string, faults StoreFaults) {
+	have, err := strconv.ParseUint(string(c.Request.Header.Peek(store.IfVersion)), 10, 64)
+	if err != nil || len(c.PostBody()) > maxValue {
+		c.Error("value too large or version missing", fasthttp.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls.Writes++
+	if s.objects[key].version != have {
+		c.Error("object has another version", fasthttp.StatusConflict)
+		return
+	}
+	version := s.write(key, c.PostBody())
+	s.turn++
+	if s.turn*37%100 < faults.LoseReply {
+		c.Error("reply lost", fasthttp.StatusGatewayTimeout)
+		return
+	}
+	c.Response.Header.Set(store.VersionHeader, strconv.FormatUint(version, 10))
+}
+
+// watch returns changes after a revision, or none when there are none within the wait.
+func (s *Store) watch(c *fasthttp.RequestCtx) {
+	after, _ := strconv.ParseUint(string(c.QueryArgs().Peek("after")), 10, 64)
+	wait, _ := strconv.Atoi(string(c.QueryArgs().Peek("wait_ms")))
+	var prefixes []string
+	for _, p := range c.QueryArgs().PeekMulti("prefix") {
+		prefixes = append(prefixes, string(p))
+	}
+	s.mu.Lock()
+	s.calls.Watches++
+	s.mu.Unlock()
+	until := time.Now().Add(time.Duration(wait) * time.Millisecond)
+	for {
+		changes, down := s.changes(after, prefixes)
+		if down {
+			c.Error("store is down", fasthttp.StatusServiceUnavailable)
+			return
+		}
+		if len(changes.Objects) > 0 || after == 0 || time.Now().After(until) {
+			writeJSON(c, changes)
+			return
+		}
+		time.Sleep(watchStep)
+	}
+}
+
+func (s *Store) changes(after uint64, prefixes []string) (found store.Changes, down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found.Revision = s.revision
+	for key, o := range s.objects {
+		for _, p := range prefixes {
+			if o.version > after && strings.HasPrefix(key, p) {
+				found.Objects = append(found.Objects, store.Change{
+					Key:     key,
+					Version: o.version,
+					Value:   o.value,
+				})
+			}
+		}
+	}
+	return found, s.faults.Down
+}
+
+func writeJSON(c *fasthttp.RequestCtx, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		c.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	c.SetContentType("application/json")
+	c.SetBody(body)
+}
