--- a/core/server/lane.go
+++ b/core/server/lane.go
@@ -25,6 +25,10 @@
 	wait := redialMin
 	for ctx.Err() == nil {
 		conn, err := s.dialer.Dial(ctx, s.spec.Address)
+		if ctx.Err() != nil {
+			closeConn(conn)
+			return nil
+		}
 		if err != nil {
 			s.unreached(err)
 			sleep(ctx, wait)
