Retry refusals for unavailability freely, earn the budget for far servers

Cause: with one replica of every service lost, 35 of 1621 requests were refused: retries of sub-requests that a down server had refused used up the budget for retries, which is meant for load. With stragglers 107 were refused: the budget for far servers was never earned, so it ended after its burst of 20.

--- a/core/config/fleet.go
+++ b/core/config/fleet.go
@@ -39,7 +39,7 @@
 		Budgets: Budgets{
 			Hedge: 0.03,
 			Retry: 0.05,
-			Cross: 0.05,
+			Cross: 0.25,
 		},
 	}
 }
--- a/core/gather/flight.go
+++ b/core/gather/flight.go
@@ -84,6 +84,7 @@
 	defer f.cancelRest()
 	f.g.parts.Hedges.Earn(len(f.shards))
 	f.g.parts.Retries.Earn(len(f.shards))
+	f.g.parts.Picker.Earn(len(f.shards))
 	for i := range f.shards {
 		f.send(i, First)
 		f.mirror(i)
--- a/core/gather/search.go
+++ b/core/gather/search.go
@@ -41,7 +41,7 @@
 		if !f.gone || restart == maxRestarts || ctx.Err() != nil {
 			break
 		}
-		if next, ok := g.snapshot(req.Collection); !ok || next.Version <= snapshot.Version {
+		if !g.newer(req.Collection, snapshot) {
 			break
 		}
 		record.step("restart on a newer snapshot", "", "", "no replica of a shard holds the first one")
@@ -68,6 +68,12 @@
 	return index.Choose(ix, replicas, g.parts.Holdings)
 }
 
+// newer reports whether a search that found s gone has a newer snapshot to start again on.
+func (g *Gatherer) newer(collection string, s index.Snapshot) bool {
+	next, ok := g.snapshot(collection)
+	return ok && next.Version > s.Version
+}
+
 // shardsOf returns the shards that a request goes to.
 func shardsOf(req query.Request, kind config.Kind, s index.Snapshot) []index.Shard {
 	if kind.Fanout == config.AllShards {
--- a/core/gather/take.go
+++ b/core/gather/take.go
@@ -22,7 +22,7 @@
 	case query.Unsent:
 		f.learn(a.server, r.Hint)
 		f.record.step("refused", s.shard.ID, a.server, r.Reason)
-		f.again(a.shard)
+		f.elsewhere(a.shard, r.Cause)
 	case query.Failed:
 		f.ran = true
 		f.record.step("failed", s.shard.ID, a.server, r.Reason)
@@ -69,6 +69,18 @@
 	f.sendTo(a.shard, server, Retry)
 }
 
+// elsewhere sends a refused sub-request to another server; only refusals for load draw on the budget for retries,
+// since a retry of the others adds no load.
+func (f *flight) elsewhere(i int, cause query.Cause) {
+	if cause == query.Busy {
+		f.again(i)
+		return
+	}
+	if s := &f.shards[i]; !s.closed && s.pending == 0 {
+		f.send(i, Retry)
+	}
+}
+
 // again sends the sub-request of a shard to another server within the budget for retries.
 func (f *flight) again(i int) {
 	s := &f.shards[i]
--- a/core/index/choose.go
+++ b/core/index/choose.go
@@ -3,8 +3,8 @@
 // Replicas returns the usable backend servers of a service.
 type Replicas func(service string) []string
 
-// Choose returns the newest snapshot that at least half of the usable replicas of each shard hold.
-// Without one it returns the newest snapshot that the most shards can be answered from.
+// Choose returns the newest snapshot that a usable replica of each shard was seen to hold.
+// Without one it returns the newest snapshot that the most shards may be answered from.
 // ok is false for an empty index.
 func Choose(ix Index, replicas Replicas, holdings *Holdings) (best Snapshot, ok bool) {
 	bestShards := -1
@@ -21,22 +21,20 @@
 	return best, bestShards >= 0
 }
 
-// support counts the shards held by half of their replicas, and those held by at least one.
+// support counts the shards that a replica was seen to hold, and those that one may hold.
 func support(s Snapshot, replicas Replicas, holdings *Holdings) (firm, possible int) {
 	for _, shard := range s.Shards {
-		servers := replicas(shard.Service)
-		holding := 0
-		for _, server := range servers {
-			if holdings.Holds(server, s.Version) {
-				holding++
-			}
+		seen, may := false, false
+		for _, server := range replicas(shard.Service) {
+			seen = seen || holdings.Seen(server, s.Version)
+			may = may || holdings.Holds(server, s.Version)
 		}
-		if holding > 0 {
-			possible++
-		}
-		if holding > 0 && 2*holding >= len(servers) {
+		if seen {
 			firm++
 		}
+		if may {
+			possible++
+		}
 	}
 	return firm, possible
 }
--- a/core/query/result.go
+++ b/core/query/result.go
@@ -24,10 +24,22 @@
 
 // Unsent tells that the sub-request has not run and will not run.
 type Unsent struct {
+	Cause  Cause
 	Reason string
 	Hint   Hint
 }
 
+// Cause tells whether a refusal is due to load, so that a retry elsewhere adds to it.
+type Cause int
+
+// The causes of a refusal.
+const (
+	// Unavailable means that the server or its home is down, leaving or out of service.
+	Unavailable Cause = iota
+	// Busy means that the server or its queue is full.
+	Busy
+)
+
 // Failed tells that the sub-request may have run and that its outcome is not known.
 type Failed struct {
 	Reason string
--- a/core/route/observe.go
+++ b/core/route/observe.go
@@ -7,6 +7,9 @@
 	"magnoliaworks/core/query"
 )
 
+// Earn records n ordinary sub-requests, which earn the budget for choices of far servers.
+func (p *Picker) Earn(n int) { p.cross.Earn(n) }
+
 // Began records that a sub-request goes to a server.
 func (p *Picker) Began(server string) { p.score(server).begin(time.Now()) }
 
--- a/core/server/control.go
+++ b/core/server/control.go
@@ -10,8 +10,10 @@
 const (
 	// pollPeriod is the time between two status probes of a backend server.
 	pollPeriod = 500 * time.Millisecond
-	// probeLimit bounds one probe.
-	probeLimit = 300 * time.Millisecond
+	// probeLimit bounds one probe; a probe on a connection that was open before is tried again on a new one.
+	probeLimit = 80 * time.Millisecond
+	// knowsLimit bounds the wait for both tries.
+	knowsLimit = 250 * time.Millisecond
 	// maxAsks bounds the probes and cancellations that wait.
 	maxAsks = 256
 )
@@ -78,7 +80,7 @@
 		attempt:   job.sub.Attempt,
 		answer:    make(chan askReply, 1),
 	}
-	limit := time.NewTimer(probeLimit)
+	limit := time.NewTimer(knowsLimit)
 	defer limit.Stop()
 	select {
 	case c.asks <- a:
--- a/core/server/lane.go
+++ b/core/server/lane.go
@@ -100,6 +100,7 @@
 func (s *Server) exchange(conn Conn, job *Job) (usable bool) {
 	if job.expired(time.Now()) {
 		s.deliver(job, query.Unsent{
+			Cause:  query.Busy,
 			Reason: "deadline passed in the queue",
 		})
 		return true
@@ -217,6 +218,7 @@
 	case Shed:
 		s.shed()
 		s.deliver(job, query.Unsent{
+			Cause:  query.Busy,
 			Reason: "server full",
 			Hint:   hint,
 		})
--- a/core/server/server.go
+++ b/core/server/server.go
@@ -95,17 +95,19 @@
 		index:   -1,
 	}
 	s.mu.Lock()
-	reason, victim := s.admit(job)
+	cause, reason, victim := s.admit(job)
 	hint := s.hint(0)
 	s.mu.Unlock()
 	if reason != "" {
 		deliver(query.Unsent{
+			Cause:  cause,
 			Reason: reason,
 			Hint:   hint,
 		})
 	}
 	if victim != nil {
 		victim.deliver(query.Unsent{
+			Cause:  query.Busy,
 			Reason: "queue full, displaced by a more urgent request",
 			Hint:   hint,
 		})
@@ -114,30 +116,30 @@
 }
 
 // admit queues the job, or returns the reason why not. A victim is a queued job that had to make room.
-func (s *Server) admit(job *Job) (reason string, victim *Job) {
+func (s *Server) admit(job *Job) (cause query.Cause, reason string, victim *Job) {
 	now := time.Now()
 	switch {
 	case s.closed:
-		return "home moved", nil
+		return query.Unavailable, "home moved", nil
 	case s.status.Draining:
-		return "server leaving", nil
+		return query.Unavailable, "server leaving", nil
 	case s.down:
-		return "server down", nil
+		return query.Unavailable, "server down", nil
 	case job.expired(now):
-		return "deadline passed", nil
+		return query.Busy, "deadline passed", nil
 	case now.Add(s.waitFor(job.sub.Priority)).After(job.sub.Until):
-		return "queue too long for the deadline", nil
+		return query.Busy, "queue too long for the deadline", nil
 	}
 	if len(s.queue) >= queueFactor*s.spec.Slots {
 		victim = s.queue.least()
 		if victim.sub.Priority >= job.sub.Priority {
-			return "queue full", nil
+			return query.Busy, "queue full", nil
 		}
 		heap.Remove(&s.queue, victim.index)
 	}
 	heap.Push(&s.queue, job)
 	s.dispatch()
-	return "", victim
+	return 0, "", victim
 }
 
 // Cancel ends interest in a job. A job in progress is cancelled at the backend server if it may be repeated.
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -110,6 +110,9 @@
 		putHint(f, r.Hint)
 	case query.Unsent:
 		f.Status = frame.Status_STATUS_NOT_RUN
+		if r.Cause == query.Busy {
+			f.Status = frame.Status_STATUS_BUSY
+		}
 		f.Reason = r.Reason
 		putHint(f, r.Hint)
 	case query.Failed:
@@ -134,6 +137,13 @@
 		}
 	case frame.Status_STATUS_NOT_RUN:
 		return query.Unsent{
+			Cause:  query.Unavailable,
+			Reason: f.GetReason(),
+			Hint:   hintOf(f),
+		}
+	case frame.Status_STATUS_BUSY:
+		return query.Unsent{
+			Cause:  query.Busy,
 			Reason: f.GetReason(),
 			Hint:   hintOf(f),
 		}
--- a/stand/line.go
+++ b/stand/line.go
@@ -124,6 +124,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closed = true
+	l.held = false
 	l.signal()
 }
 
--- a/stand/load/client.go
+++ b/stand/load/client.go
@@ -46,16 +46,18 @@
 	return c
 }
 
-// refresh learns which hosts are ready.
+// refresh learns which hosts are ready, and closes idle connections to the others.
 func (c *client) refresh(members []*member) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	var ready []*member
 	for _, m := range members {
 		if _, ok := m.host.Ready(); ok {
 			ready = append(ready, m)
+		} else if h, known := c.conns[m.settings.CallerAddress]; known {
+			h.CloseIdleConnections()
 		}
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if len(ready) > 0 {
 		c.ready = ready
 	}
