--- a/core/limit/warmup.go
+++ b/core/limit/warmup.go
@@ -29,7 +29,6 @@
 	slow      int
 	// usual is the smoothed service time of good replies at full warmth; 0 until known.
 	usual time.Duration
-	full  bool
 }
 
 // NewWarmup returns a cold limit that may grow to ceiling.
--- a/io/caller/door.go
+++ b/io/caller/door.go
@@ -139,7 +139,7 @@
 
 // readFailed answers requests that could not be read.
 func readFailed(c *fasthttp.RequestCtx, err error) {
-	var timeout net.Error
+	var timeout interface{ Timeout() bool }
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		writeRefusal(c, fasthttp.StatusRequestEntityTooLarge, refusalBody{
--- a/stand/load/virtual_test.go
+++ b/stand/load/virtual_test.go
@@ -2,41 +2,25 @@
 
 import (
 	"context"
-	"net"
 	"os"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/valyala/fasthttp"
-	"github.com/valyala/fasthttp/fasthttputil"
 
 	"magnoliaworks/core/plan"
+	"magnoliaworks/stand"
 )
 
 // cleanTime is the virtual time after which the cleaners of the HTTP library have ended.
 const cleanTime = 2 * time.Minute
 
-// TestMain serves one request outside any bubble, which starts the HTTP library's own lasting tasks.
+// TestMain starts the HTTP library's lasting tasks outside any bubble.
 func TestMain(m *testing.M) {
-	l := fasthttputil.NewInmemoryListener()
-	s := &fasthttp.Server{
-		Handler: func(c *fasthttp.RequestCtx) { c.SetBodyString("ok") },
-	}
-	done := make(chan error, 1)
-	serve := func() { done <- s.Serve(l) }
-	go serve()
-	c := &fasthttp.HostClient{
-		Addr: "x",
-		Dial: func(string) (net.Conn, error) { return l.Dial() },
-	}
-	if _, _, err := c.Get(nil, "http://x/"); err != nil {
+	if err := stand.StartLasting(); err != nil {
 		panic(err)
 	}
-	c.CloseIdleConnections()
-	_ = l.Close()
-	<-done
 	os.Exit(m.Run())
 }
 
--- /dev/null
+++ b/stand/main_test.go
@@ -0,0 +1,14 @@
+package stand
+
+import (
+	"os"
+	"testing"
+)
+
+// TestMain starts the HTTP library's lasting tasks outside any bubble.
+func TestMain(m *testing.M) {
+	if err := StartLasting(); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
