--- /dev/null
+++ b/cmd/magnoliaworks/process_test.go
@@ -0,0 +1,241 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// The test binary is also the program: with this variable set it runs the command line.
+const asProgram = "MAGNOLIAWORKS_AS_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		os.Exit(run(os.Args[1:]))
+	}
+	os.Exit(m.Run())
+}
+
+// program starts the command line as a process of its own.
+func program(t *testing.T, args ...string) *exec.Cmd {
+	t.Helper()
+	c := exec.Command(os.Args[0], args...)
+	c.Env = append(os.Environ(), asProgram+"=1")
+	c.Stderr = io.Discard
+	return c
+}
+
+// fleet is a set of processes: the stand-ins and some hosts.
+type fleet struct {
+	t     *testing.T
+	files []hostFile
+	hosts []*exec.Cmd
+}
+
+func newFleet(t *testing.T, hosts int) *fleet {
+	t.Helper()
+	directory := t.TempDir()
+	stand := program(t, "stand", "--directory", directory, "--hosts", fmt.Sprint(hosts))
+	if err := stand.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = stand.Process.Signal(syscall.SIGTERM)
+		_ = stand.Wait()
+	})
+	f := &fleet{
+		t: t,
+	}
+	for i := range hosts {
+		name := filepath.Join(directory, fmt.Sprintf("host-%d.jsonc", i+1))
+		f.files = append(f.files, readHostFile(t, name))
+		f.start(name)
+	}
+	for i := range hosts {
+		f.untilReady(i)
+	}
+	return f
+}
+
+func (f *fleet) start(settings string) {
+	host := program(f.t, "serve", "--settings", settings)
+	if err := host.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.hosts = append(f.hosts, host)
+	f.t.Cleanup(func() {
+		_ = host.Process.Kill()
+		_ = host.Wait()
+	})
+}
+
+func readHostFile(t *testing.T, name string) hostFile {
+	t.Helper()
+	var h hostFile
+	eventually(t, func() bool {
+		data, err := os.ReadFile(name)
+		return err == nil && json.Unmarshal(data, &h) == nil
+	})
+	return h
+}
+
+func (f *fleet) untilReady(i int) {
+	eventually(f.t, func() bool {
+		status, _ := get("http://" + f.files[i].CallerAddress + "/ready")
+		return status == http.StatusOK
+	})
+}
+
+func get(url string) (int, string) {
+	r, err := http.Get(url)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = r.Body.Close() }()
+	body, _ := io.ReadAll(r.Body)
+	return r.StatusCode, string(body)
+}
+
+func (f *fleet) ask(i int, body string) (int, string) {
+	r, err := http.Post("http://"+f.files[i].CallerAddress+"/v1/request", "application/json", strings.NewReader(body))
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = r.Body.Close() }()
+	text, _ := io.ReadAll(r.Body)
+	return r.StatusCode, string(text)
+}
+
+func (f *fleet) do(i int, command string) (string, error) {
+	c := program(f.t, "do", "--host", f.files[i].OperatorAddress, "--operator", "test", command)
+	var out bytes.Buffer
+	c.Stdout, c.Stderr = &out, &out
+	err := c.Run()
+	return out.String(), err
+}
+
+const limit = 30 * time.Second
+
+func eventually(t *testing.T, holds func() bool) {
+	t.Helper()
+	for until := time.Now().Add(limit); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatal("not so within " + limit.String())
+}
+
+const (
+	sheet = `{"collection":"chart-desk","kind":"contour_sheet","text":"cerro"}`
+	order = `{"collection":"print-queue","kind":"print_order","text":"sheet 12","caller":"desk","request_key":"k-1"}`
+)
+
+// TestProcesses runs the whole path as separate processes: requests, a drain, a killed host, a paused host and SIGTERM.
+func TestProcesses(t *testing.T) {
+	f := newFleet(t, 3)
+	Convey("A search is answered whole from any host", t, func() {
+		for i := range f.files {
+			status, text := f.ask(i, sheet)
+			So(text, ShouldContainSubstring, `"coverage":{"answered":10,"total":10}`)
+			So(status, ShouldEqual, http.StatusOK)
+		}
+	})
+	Convey("An order with the same key runs once, whichever host is asked", t, func() {
+		first, text := f.ask(0, order)
+		So(text, ShouldContainSubstring, `"snapshot":1`)
+		So(first, ShouldEqual, http.StatusOK)
+		again, _ := f.ask(1, order)
+		So(again, ShouldEqual, http.StatusOK)
+		other, text := f.ask(2, strings.Replace(order, "sheet 12", "sheet 13", 1))
+		So(other, ShouldEqual, http.StatusBadRequest)
+		So(text, ShouldContainSubstring, "belongs to another request")
+	})
+	Convey("A data centre taken out on one host is out on all, and the audit trail tells who did it", t, func() {
+		out, err := f.do(0, `take out data_centre playa-ancha because "flood"`)
+		So(err, ShouldBeNil)
+		So(out, ShouldStartWith, "accepted")
+		eventually(t, func() bool {
+			status, text := get("http://" + f.files[1].CallerAddress + "/ready")
+			return status == http.StatusServiceUnavailable && strings.Contains(text, "taken out")
+		})
+		out, err = f.do(2, "show audit")
+		So(err, ShouldBeNil)
+		So(out, ShouldContainSubstring, "flood")
+		out, err = f.do(1, "bring in data_centre playa-ancha")
+		So(err, ShouldBeNil)
+		So(out, ShouldStartWith, "accepted")
+		f.untilReady(1)
+	})
+	Convey("A wrong command is told with its column and exits 1", t, func() {
+		out, err := f.do(0, "tak out host x")
+		So(err, ShouldNotBeNil)
+		So(out, ShouldContainSubstring, `column 1: unexpected token "tak"; did you mean "take"?`)
+	})
+	Convey("A host paused for 2 s stays a member and answers again", t, func() {
+		So(f.hosts[1].Process.Signal(syscall.SIGSTOP), ShouldBeNil)
+		time.Sleep(2 * time.Second)
+		So(f.hosts[1].Process.Signal(syscall.SIGCONT), ShouldBeNil)
+		f.untilReady(1)
+		out, err := f.do(0, "show hosts")
+		So(err, ShouldBeNil)
+		So(out, ShouldNotContainSubstring, "unreachable")
+	})
+	Convey("After a host is killed the others answer whole", t, func() {
+		So(f.hosts[2].Process.Kill(), ShouldBeNil)
+		eventually(t, func() bool {
+			out, _ := f.do(0, "show hosts")
+			return strings.Contains(out, "unreachable")
+		})
+		eventually(t, func() bool {
+			status, _ := f.ask(0, sheet)
+			return status == http.StatusOK
+		})
+	})
+	Convey("SIGTERM ends a host with exit code 0", t, func() {
+		So(f.hosts[0].Process.Signal(syscall.SIGTERM), ShouldBeNil)
+		So(f.hosts[0].Wait(), ShouldBeNil)
+	})
+}
+
+// TestExitCodes runs commands that are wrong before any port opens.
+func TestExitCodes(t *testing.T) {
+	cases := []struct {
+		name string
+		args []string
+		code int
+		want string
+	}{
+		{name: "version", args: []string{"--version"}, code: exitOK, want: "magnoliaworks 0."},
+		{name: "help of a command", args: []string{"load", "--help"}, code: exitOK, want: "--faults"},
+		{name: "no command", args: nil, code: exitUsage, want: "command"},
+		{name: "unknown command", args: []string{"sreve"}, code: exitUsage, want: "serve"},
+		{name: "missing settings", args: []string{"serve", "--settings", "absent.jsonc"}, code: exitUsage, want: "absent.jsonc"},
+		{name: "unknown fault", args: []string{"load", "--faults", "stragler"}, code: exitUsage, want: `did you mean "straggler"? known: straggler, replica_loss`},
+		{name: "unknown deployment", args: []string{"load", "--deployment", "x"}, code: exitUsage, want: "known: valparaiso, arangam"},
+		{name: "embedded deployment", args: []string{"check", "../../core/plan/arangam.jsonc"}, code: exitOK, want: "deployment, no mistakes"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := program(t, c.args...)
+			var out bytes.Buffer
+			p.Stdout, p.Stderr = &out, &out
+			_ = p.Run()
+			Convey("The exit code and the text are as documented", t, func() {
+				So(p.ProcessState.ExitCode(), ShouldEqual, c.code)
+				So(out.String(), ShouldContainSubstring, c.want)
+			})
+		})
+	}
+}
--- a/host.go
+++ b/host.go
@@ -56,6 +56,7 @@
 	table    *member.Table
 	register *config.Register
 	routes   *route.Current
+	known    *directory
 	picker   *route.Picker
 	holdings *index.Holdings
 	budgets  budgets
@@ -112,12 +113,16 @@
 		meter:    metric.New(),
 		table:    member.NewTable(selfOf(o.settings)),
 	}
+	h.known = &directory{
+		routes: h.routes,
+	}
+	h.known.noteChange()
 	h.budgets = newBudgets(config.DefaultFleet().Budgets)
 	h.picker = route.NewPicker(route.Policy(h.settings.Policy), h.settings.DataCentre, h.budgets.cross, h.journal)
 	h.store = store.New(h.settings.StoreAddress, h.dialPlain)
 	h.list = hosts.New(h.settings.HostsAddress, h.dialPlain)
 	h.peers = peer.NewClient(h.table, h.register, h.network.Dial, peerTLS)
-	h.servers = server.New(h.routes, dialer.New(h.network.Dial), h.timer, h.journal)
+	h.servers = server.New(h.known, dialer.New(h.network.Dial), h.timer, h.journal)
 	h.links = peer.NewLinks(h.peers, h.settings.ID, h.servers)
 	h.spread = spread.New(h.register, h.table, h.peers, h.store, h.timer, h.journal)
 	h.peers.Report(h.spread)
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
 	"magnoliaworks/core/config"
@@ -20,9 +21,11 @@
 const (
 	// format is the version of the messages between hosts.
 	format = 1
-	// pingAfter and pingTimeout let HTTP/2 find a silent connection between hosts.
+	// pingAfter and pingTimeout let HTTP/2 find a silent connection under a stream of sub-requests.
 	pingAfter   = 500 * time.Millisecond
 	pingTimeout = 700 * time.Millisecond
+	// controlIdle is the time after which a connection that carried a ping or a pull is closed.
+	controlIdle = 10 * time.Second
 )
 
 // DialFunc opens a transport connection.
@@ -30,10 +33,13 @@
 
 // Client sends messages to other hosts. It implements member.Prober and spread.Peers.
 type Client struct {
-	http   *http.Client
-	scheme string
-	table  *member.Table
-	state  *config.Register
+	// control carries pings and pulls on connections that end soon, since a host pings all others in turn.
+	// streams carries sub-requests on connections that are watched.
+	control *http.Client
+	streams *http.Client
+	scheme  string
+	table   *member.Table
+	state   *config.Register
 	// differs is told of peers with another configuration.
 	differs func(member.Member)
 	// contact is called after each reply.
@@ -48,25 +54,16 @@
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
-	protocols := new(http.Protocols)
-	protocols.SetHTTP2(tls != nil)
-	protocols.SetUnencryptedHTTP2(tls == nil)
 	scheme := "http://"
 	if tls != nil {
 		scheme = "https://"
 	}
 	return &Client{
-		http: &http.Client{
-			Transport: &http.Transport{
-				DialContext:     dial,
-				Protocols:       protocols,
-				TLSClientConfig: tls,
-				HTTP2: &http.HTTP2Config{
-					SendPingTimeout: pingAfter,
-					PingTimeout:     pingTimeout,
-				},
-			},
-		},
+		control: newHTTP(dial, tls, controlIdle, &http.HTTP2Config{}),
+		streams: newHTTP(dial, tls, 0, &http.HTTP2Config{
+			SendPingTimeout: pingAfter,
+			PingTimeout:     pingTimeout,
+		}),
 		scheme:  scheme,
 		table:   table,
 		state:   state,
@@ -83,19 +80,43 @@
 }
 
 // Close ends idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+func (c *Client) Close() {
+	c.control.CloseIdleConnections()
+	c.streams.CloseIdleConnections()
+}
+
+// newHTTP returns a client of HTTP/2 only.
+func newHTTP(dial DialFunc, tls *tls.Config, idle time.Duration, settings *http.HTTP2Config) *http.Client {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP2(tls != nil)
+	protocols.SetUnencryptedHTTP2(tls == nil)
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:     dial,
+			Protocols:       protocols,
+			TLSClientConfig: tls,
+			IdleConnTimeout: idle,
+			HTTP2:           settings,
+		},
+	}
+}
 
 func (c *Client) peer(address string) frame.PeerClient {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p, ok := c.peers[address]
 	if !ok {
-		p = frame.NewPeerClient(c.http, c.scheme+address)
+		p = frame.NewPeerClient(c.control, c.scheme+address)
 		c.peers[address] = p
 	}
 	return p
 }
 
+// exchange opens a stream of sub-requests.
+func (c *Client) exchange(ctx context.Context, address string) *connect.BidiStreamForClient[frame.Request, frame.Reply] {
+	return frame.NewPeerClient(c.streams, c.scheme+address).Exchange(ctx)
+}
+
 // Forget drops what is kept for addresses for which wanted returns false.
 func (c *Client) Forget(wanted func(address string) bool) {
 	c.mu.Lock()
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -143,7 +143,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	stream := l.client.peer(l.peer.Address).Exchange(ctx)
+	stream := l.client.exchange(ctx, l.peer.Address)
 	group.Go(func() error { return l.write(ctx, stream) })
 	group.Go(func() error { return l.read(stream) })
 	group.Go(func() error {
--- a/serve.go
+++ b/serve.go
@@ -181,8 +181,13 @@
 
 // follow derives the routing table anew whenever the configuration or the view changes.
 func (h *Host) follow(ctx context.Context) error {
+	seen := uint64(0)
 	for {
 		configured, viewed := h.register.Changed(), h.table.Changed()
+		if digest := h.table.View().Digest(); digest != seen {
+			seen = digest
+			h.known.noteChange()
+		}
 		h.reroute()
 		h.servers.Sweep()
 		select {
--- /dev/null
+++ b/stand/load/capacity_test.go
@@ -0,0 +1,103 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"magnoliaworks/core/plan"
+)
+
+// The bounds for one host, from docs/CAPACITY.md.
+const (
+	maxControlBytes = 6_000
+	designHosts     = 540
+)
+
+// TestCapacityOfControl checks in virtual time that the control traffic of a host and the calls of the store,
+// extended along their slopes, stay within the bounds at the design size.
+// Both points lie beyond the size at which a ping finds the connection of the last round still open, which is 20 hosts.
+func TestCapacityOfControl(t *testing.T) {
+	small, large := control(t, 32), control(t, 100)
+	t.Logf("%+v", small)
+	t.Logf("%+v", large)
+	slope := (large.BytesPerHost - small.BytesPerHost) / float64(large.Hosts-small.Hosts)
+	if predicted := large.BytesPerHost + slope*float64(designHosts-large.Hosts); predicted > maxControlBytes {
+		t.Errorf("control traffic at %d hosts: %.0f bytes/s for each host, bound %d", designHosts, predicted, maxControlBytes)
+	}
+	if large.Watches > small.Watches+0.5 {
+		t.Errorf("watches/s grow with hosts: %.1f at %d, %.1f at %d", small.Watches, small.Hosts, large.Watches, large.Hosts)
+	}
+	if large.Reads > 1 || large.Writes > 0 {
+		t.Errorf("an idle fleet reads %.1f/s and writes %.1f/s", large.Reads, large.Writes)
+	}
+}
+
+func control(t *testing.T, hosts int) Control {
+	t.Helper()
+	p, err := plan.Embedded("valparaiso")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var c Control
+	synctest.Test(t, func(t *testing.T) {
+		nothing := func() {}
+		measured, err := MeasureControl(context.Background(), p, hosts, 10*time.Second, nothing, nothing)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c = measured
+		time.Sleep(cleanTime)
+	})
+	return c
+}
+
+// BenchmarkControl reports what an idle host spends in real time, for fleets of several sizes.
+func BenchmarkControl(b *testing.B) {
+	p, err := plan.Embedded("valparaiso")
+	if err != nil {
+		b.Fatal(err)
+	}
+	for _, hosts := range []int{8, 32, 100, 200} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			for b.Loop() {
+				reportControl(b, p, hosts)
+			}
+		})
+	}
+}
+
+func reportControl(b *testing.B, p plan.Plan, hosts int) {
+	const over = 10 * time.Second
+	var cpu time.Duration
+	var heap uint64
+	begin := func() { cpu = processorTime() }
+	end := func() {
+		cpu = processorTime() - cpu
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		heap = m.HeapAlloc
+	}
+	c, err := MeasureControl(context.Background(), p, hosts, over, begin, end)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(c.BytesPerHost, "bytes/s/host")
+	b.ReportMetric(100*cpu.Seconds()/over.Seconds()/float64(hosts), "%core/host")
+	b.ReportMetric(float64(heap)/float64(hosts)/1e6, "MB/host")
+	b.ReportMetric(c.Watches, "watches/s")
+	b.ReportMetric(c.Reads, "reads/s")
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- /dev/null
+++ b/stand/load/control.go
@@ -0,0 +1,53 @@
+package load
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"magnoliaworks/core/plan"
+	"magnoliaworks/stand"
+)
+
+// Control is what an idle fleet spends on itself.
+type Control struct {
+	Hosts int
+	// BytesPerHost is the traffic between hosts and with the store, in bytes a second for each host, both ways.
+	BytesPerHost float64
+	// Reads, Writes and Watches are calls of the store a second, of the whole fleet.
+	Reads   float64
+	Writes  float64
+	Watches float64
+}
+
+// MeasureControl runs n hosts without requests and returns what they spend over the given time.
+// begin and end are called around that time.
+func MeasureControl(ctx context.Context, p plan.Plan, n int, over time.Duration, begin, end func()) (Control, error) {
+	network := stand.NewMemory(p.Delays)
+	platform, err := stand.NewPlatform(p, network, 1)
+	if err != nil {
+		return Control{}, err
+	}
+	fleet, err := NewFleet(ctx, platform, n, "full", hclog.NewNullLogger())
+	if err != nil {
+		return Control{}, err
+	}
+	_ = sleep(ctx, over)
+	begin()
+	traffic, calls := network.Traffic(), platform.Store.Calls()
+	_ = sleep(ctx, over)
+	later, laterCalls := network.Traffic(), platform.Store.Calls()
+	end()
+	err = fleet.Stop()
+	platform.Stop()
+	network.Wait()
+	bytes := later.BetweenHosts - traffic.BetweenHosts + later.ToStore - traffic.ToStore
+	return Control{
+		Hosts:        n,
+		BytesPerHost: float64(bytes) / over.Seconds() / float64(n),
+		Reads:        float64(laterCalls.Reads-calls.Reads) / over.Seconds(),
+		Writes:       float64(laterCalls.Writes-calls.Writes) / over.Seconds(),
+		Watches:      float64(laterCalls.Watches-calls.Watches) / over.Seconds(),
+	}, err
+}
--- a/stand/network.go
+++ b/stand/network.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,8 +31,46 @@
 	conns     map[*pipe]connPlace
 	cut       map[[2]string]bool
 	nextPort  int
+
+	// The rest counts bytes in memory networks.
+	betweenHosts atomic.Int64
+	toStore      atomic.Int64
+	toServers    atomic.Int64
+}
+
+// Traffic is the number of bytes that have crossed a memory network, both ways.
+type Traffic struct {
+	BetweenHosts int64
+	ToStore      int64
+	ToServers    int64
 }
 
+// Traffic returns the bytes so far.
+func (n *Network) Traffic() Traffic {
+	return Traffic{
+		BetweenHosts: n.betweenHosts.Load(),
+		ToStore:      n.toStore.Load(),
+		ToServers:    n.toServers.Load(),
+	}
+}
+
+// counter returns the count that a connection adds to.
+func (n *Network) counter(from *Side, to place) *atomic.Int64 {
+	switch {
+	case from.dataCentre == Callers:
+		return nil
+	case to.server:
+		return &n.toServers
+	case to.owner == storeOwner:
+		return &n.toStore
+	default:
+		return &n.betweenHosts
+	}
+}
+
+// storeOwner owns the address of the platform's store.
+const storeOwner = "store"
+
 type place struct {
 	owner       string
 	dataCentre  string
@@ -192,6 +231,8 @@
 	l := n.listeners[address]
 	n.mu.Unlock()
 	client, server := newPipe("127.0.0.1:1", address, delay)
+	client.sent = n.counter(from, to)
+	server.sent = client.sent
 	if l == nil || !l.offer(server) {
 		return nil, &net.OpError{
 			Op:  "dial",
--- a/stand/pipe.go
+++ b/stand/pipe.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -14,6 +15,8 @@
 	delay   time.Duration
 	once    sync.Once
 	ended   func()
+	// sent counts the bytes of both directions; it is nil when nobody counts.
+	sent *atomic.Int64
 }
 
 // newPipe returns both ends of a connection.
@@ -42,7 +45,12 @@
 func (p *pipe) Read(b []byte) (int, error) { return p.in.read(b) }
 
 // Write implements net.Conn.
-func (p *pipe) Write(b []byte) (int, error) { return p.out.write(b, p.delay) }
+func (p *pipe) Write(b []byte) (int, error) {
+	if p.sent != nil {
+		p.sent.Add(int64(len(b)))
+	}
+	return p.out.write(b, p.delay)
+}
 
 // Close implements net.Conn.
 func (p *pipe) Close() error {
--- a/stand/platform.go
+++ b/stand/platform.go
@@ -40,12 +40,12 @@
 		Record:  NewRecord(),
 		servers: make(map[string]*Server),
 	}
-	address, err := network.Address("", "store")
+	address, err := network.Address("", storeOwner)
 	if err != nil {
 		return nil, err
 	}
 	f.StoreAddress = address
-	if f.listener, err = network.Side("", "store").Listen(address); err != nil {
+	if f.listener, err = network.Side("", storeOwner).Listen(address); err != nil {
 		return nil, err
 	}
 	network.tasks.Go(func() error { return f.Store.Serve(f.listener) })
