--- a/cmd/magnoliaworks/load.go
+++ b/cmd/magnoliaworks/load.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"time"
@@ -19,6 +20,7 @@
 	Seed       uint64        `long:"seed" default:"1" description:"seed of arrivals, kinds and service times"`
 	Hosts      int           `long:"hosts" default:"8" description:"number of hosts"`
 	Faults     string        `long:"faults" value-name:"LIST" description:"faults such as straggler,store_down@2s-6s; times count from the start of the measured time"`
+	Target     []string      `long:"target" value-name:"ADDRESS" description:"callers' address of a running host, once for each; without stand-ins only what the answers show is checked"`
 	Policy     string        `long:"policy" default:"full" choice:"full" choice:"naive" description:"choice of replicas"`
 	Report     string        `long:"report" value-name:"FILE" default:"-" description:"where the report goes; - is standard output"`
 	LogLevel   string        `long:"log-level" default:"error" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level of log lines"`
@@ -39,7 +41,7 @@
 	}
 	ctx, stop := untilSignal()
 	defer stop()
-	report, err := load.Run(ctx, load.Config{
+	report, err := c.run(ctx, load.Config{
 		Plan:     p,
 		Seed:     c.Seed,
 		Rate:     c.Rate,
@@ -56,6 +58,16 @@
 	return c.write(report)
 }
 
+func (c *loadCommand) run(ctx context.Context, experiment load.Config) (load.Report, error) {
+	if len(c.Target) == 0 {
+		return load.Run(ctx, experiment)
+	}
+	if len(experiment.Faults) > 0 {
+		return load.Report{}, usageError{errors.New("faults need the stand-ins of this process; leave out --target or --faults")}
+	}
+	return load.RunTarget(ctx, experiment, c.Target)
+}
+
 func (c *loadCommand) write(report load.Report) error {
 	encoded, err := report.JSON()
 	if err != nil {
--- a/cmd/magnoliaworks/main.go
+++ b/cmd/magnoliaworks/main.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 
 	"github.com/jessevdk/go-flags"
 
@@ -46,6 +47,9 @@
 	}
 	parser := flags.NewParser(&c, flags.HelpFlag|flags.PassDoubleDash)
 	parser.Name = "magnoliaworks"
+	if slices.Contains(args, "--version") {
+		return exitCode(c.Version())
+	}
 	_, err := parser.ParseArgs(args)
 	return exitCode(err)
 }
--- a/stand/load/client.go
+++ b/stand/load/client.go
@@ -42,10 +42,17 @@
 		run:   r,
 		conns: make(map[string]*fasthttp.HostClient),
 	}
-	c.refresh(r.fleet.members())
 	return c
 }
 
+// dial opens a connection as a caller, over the experiment's network if there is one.
+func (c *client) dial(address string) (net.Conn, error) {
+	if c.run.platform == nil {
+		return net.Dial("tcp", address)
+	}
+	return c.run.platform.Network.Side(stand.Callers, stand.Callers).Dial(context.Background(), "tcp", address)
+}
+
 // refresh learns which hosts are ready, and closes idle connections to the others.
 func (c *client) refresh(members []*member) {
 	c.mu.Lock()
@@ -77,9 +84,7 @@
 			MaxConns:                  maxCallerConns,
 			MaxIdemponentCallAttempts: 1,
 			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-			Dial: func(address string) (net.Conn, error) {
-				return c.run.platform.Network.Side(stand.Callers, stand.Callers).Dial(context.Background(), "tcp", address)
-			},
+			Dial:                      c.dial,
 		}
 		c.conns[address] = h
 	}
--- a/stand/load/once.go
+++ b/stand/load/once.go
@@ -19,6 +19,7 @@
 		tally:    newTally(f.platform),
 	}
 	r.client = newClient(r)
+	r.client.refresh(f.members())
 	defer r.client.close()
 	var lines []string
 	missing := 0
--- a/stand/load/run.go
+++ b/stand/load/run.go
@@ -55,6 +55,7 @@
 		random:   rand.New(rand.NewPCG(c.Seed, 2)),
 	}
 	r.client = newClient(r)
+	r.client.refresh(fleet.members())
 	r.factor.Store(1)
 	err = r.whole(ctx)
 	if stopErr := fleet.Stop(); err == nil {
--- a/stand/load/tally.go
+++ b/stand/load/tally.go
@@ -77,7 +77,7 @@
 	case r.refusal == "not_run":
 		t.notRun = append(t.notRun, r.requestID)
 	}
-	if key == "" && r.requestID != "" {
+	if key == "" && r.requestID != "" && t.platform != nil {
 		t.countRuns(r)
 	}
 }
@@ -96,7 +96,7 @@
 	if crossed {
 		t.counts.CrossedAnswers++
 	}
-	if !t.coverageTrue(a, r.answer) {
+	if t.platform != nil && !t.coverageTrue(a, r.answer) {
 		t.counts.CoverageFalse++
 	}
 }
@@ -220,6 +220,9 @@
 // violations returns all counts, those of the stand-ins included.
 func (t *tally) violations() Violations {
 	v := t.counts
+	if t.platform == nil {
+		return v
+	}
 	faulty := t.platform.Record.Faulty()
 	v.ColdOverload = faulty.ColdOverload
 	v.DrainedWork = faulty.DrainedWork
