Send frames between hosts without compression

Cause: the profile of BenchmarkRequest spent 36 % in compress/flate: clients of connect-go accept gzip unless told otherwise, so each frame of a few hundred bytes was compressed. Change: clients of the peer protocol ask for plain replies.

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -31,6 +31,9 @@
 // DialFunc opens a transport connection.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
+// plainReplies asks for replies without compression: frames are small, and compressing them costs more than all else.
+var plainReplies = connect.WithAcceptCompression("gzip", nil, nil)
+
 // Client sends messages to other hosts. It implements member.Prober and spread.Peers.
 type Client struct {
 	// control carries pings and pulls on connections that end soon, since a host pings all others in turn.
@@ -106,7 +109,7 @@
 	defer c.mu.Unlock()
 	p, ok := c.peers[address]
 	if !ok {
-		p = frame.NewPeerClient(c.control, c.scheme+address)
+		p = frame.NewPeerClient(c.control, c.scheme+address, plainReplies)
 		c.peers[address] = p
 	}
 	return p
@@ -114,7 +117,7 @@
 
 // exchange opens a stream of sub-requests.
 func (c *Client) exchange(ctx context.Context, address string) *connect.BidiStreamForClient[frame.Request, frame.Reply] {
-	return frame.NewPeerClient(c.streams, c.scheme+address).Exchange(ctx)
+	return frame.NewPeerClient(c.streams, c.scheme+address, plainReplies).Exchange(ctx)
 }
 
 // Forget drops what is kept for addresses for which wanted returns false.
