--- a/serve.go
+++ b/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -18,6 +19,8 @@
 	joinPeriod = time.Second
 	// seekEvery is the number of join periods between two looks for hosts while others are known.
 	seekEvery = 10
+	// seekAtOnce is the number of unknown hosts that one attempt pings.
+	seekAtOnce = 3
 	// joinTimeout bounds one attempt.
 	joinTimeout = time.Second
 	// quietTime is the time without work after which a leaving host stops serving its peers.
@@ -214,7 +217,7 @@
 	}
 }
 
-// seek pings the hosts of the settings and those of the platform's list that are not known.
+// seek pings a few of the hosts of the settings and of the platform's list that are not known; gossip brings the others.
 func (h *Host) seek(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
@@ -239,9 +242,10 @@
 	if len(known) == 1 {
 		candidates = append(candidates, h.listed()...)
 	}
+	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	var unknown []string
 	for _, address := range candidates {
-		if !known[address] {
+		if !known[address] && len(unknown) < seekAtOnce {
 			known[address] = true
 			unknown = append(unknown, address)
 		}
