--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -24,6 +25,8 @@
 	// pingAfter and pingTimeout let HTTP/2 find a silent connection under a stream of sub-requests.
 	pingAfter   = 500 * time.Millisecond
 	pingTimeout = 700 * time.Millisecond
+	// patientPings is the number of pings in a row with differing views after which whole views are exchanged.
+	patientPings = 2
 	// controlIdle is the time after which a connection that carried a ping or a pull is closed.
 	controlIdle = 10 * time.Second
 )
@@ -48,6 +51,9 @@
 	// contact is called after each reply.
 	contact func()
 
+	// differing counts pings in a row after which the views still differed.
+	differing atomic.Int32
+
 	mu    sync.Mutex
 	peers map[string]frame.PeerClient
 }
@@ -153,7 +159,7 @@
 		ViewDigest: view.Digest(),
 		News:       memberFrames(c.table.News()),
 		Via:        via,
-		Whole:      len(view.Members()) == 1,
+		Whole:      len(view.Members()) == 1 || c.differing.Load() >= patientPings,
 		Format:     format,
 	}
 	reply, err := c.peer(address).Ping(ctx, newRequest(request))
@@ -164,10 +170,22 @@
 	if via != "" && !reply.Msg.GetReached() {
 		return errors.Errorf("host at %s does not reach %s", address, via)
 	}
-	if via == "" && reply.Msg.GetViewDigest() != c.table.View().Digest() && len(reply.Msg.GetNews()) == 0 {
-		return c.pushView(ctx, sender.Address)
+	if via != "" {
+		return nil
 	}
-	return nil
+	return c.compare(ctx, sender, reply.Msg)
+}
+
+// compare counts pings after which the views still differ, and sends the whole view when recent news do not explain that.
+func (c *Client) compare(ctx context.Context, sender member.Member, reply *frame.PingReply) error {
+	if reply.GetViewDigest() == c.table.View().Digest() {
+		c.differing.Store(0)
+		return nil
+	}
+	if c.differing.Add(1) <= patientPings && len(reply.GetNews()) > 0 {
+		return nil
+	}
+	return c.pushView(ctx, sender.Address)
 }
 
 // pushView sends the whole view to a host whose view differs for a reason that recent news do not explain.
--- a/stand/load/control.go
+++ b/stand/load/control.go
@@ -21,9 +21,16 @@
 	Watches float64
 }
 
-// MeasureControl runs n hosts without requests and returns what they spend over the given time.
-// begin and end are called around that time.
-func MeasureControl(ctx context.Context, p plan.Plan, n int, over time.Duration, begin, end func()) (Control, error) {
+// Span is the time of a measurement: first the fleet settles, then it is measured.
+type Span struct {
+	Settle time.Duration
+	Over   time.Duration
+}
+
+// MeasureControl runs n hosts without requests and returns what they spend over the span.
+// begin and end are called around the measured time.
+func MeasureControl(ctx context.Context, p plan.Plan, n int, span Span, begin, end func()) (Control, error) {
+	over := span.Over
 	network := stand.NewMemory(p.Delays)
 	platform, err := stand.NewPlatform(p, network, 1)
 	if err != nil {
@@ -33,7 +40,7 @@
 	if err != nil {
 		return Control{}, err
 	}
-	_ = sleep(ctx, over)
+	_ = sleep(ctx, span.Settle)
 	begin()
 	traffic, calls := network.Traffic(), platform.Store.Calls()
 	_ = sleep(ctx, over)
