--- a/stand/load/action.go
+++ b/stand/load/action.go
@@ -48,6 +48,7 @@
 func init() {
 	actions = map[string]action{
 		"straggler":       eachServer(everyTenth, func(s *stand.Server) { s.SetFactor(stragglerFactor) }, func(s *stand.Server) { s.SetFactor(1) }),
+		"server_leave":    eachServer(everyTenth, func(s *stand.Server) { s.SetDraining(true) }, func(s *stand.Server) { s.SetDraining(false) }),
 		"replica_loss":    {on: loseReplicas, off: returnReplicas},
 		"repartition":     {on: func(ctx context.Context, r *run) error { return r.publish(ctx, true) }},
 		"snapshot_change": {on: func(ctx context.Context, r *run) error { return r.publish(ctx, false) }},
--- a/stand/load/fault.go
+++ b/stand/load/fault.go
@@ -73,7 +73,7 @@
 
 // FaultNames lists the faults.
 var FaultNames = []string{
-	"straggler", "replica_loss", "repartition", "snapshot_change", "cold_restart", "health_lies",
+	"straggler", "server_leave", "replica_loss", "repartition", "snapshot_change", "cold_restart", "health_lies",
 	"silent_connections", "centre_out_and_back", "store_down", "store_slow", "store_lost_reply", "store_stale_read",
 	"host_restart", "host_pause", "peer_link_loss", "overload",
 }
--- a/stand/load/fault_test.go
+++ b/stand/load/fault_test.go
@@ -15,6 +15,8 @@
 	}{
 		{fault: "straggler@1s-4s", deployment: "valparaiso", answered: 0.999},
 		{fault: "straggler@1s-4s", deployment: "arangam", answered: 0.999},
+		{fault: "server_leave@1s-5500ms", deployment: "valparaiso", answered: 0.999},
+		{fault: "server_leave@1s-5500ms", deployment: "arangam", answered: 0.999},
 		{fault: "replica_loss@1s-4s", deployment: "valparaiso", answered: 0.999},
 		{fault: "replica_loss@1s-4s", deployment: "arangam", answered: 0.999},
 		{fault: "repartition@1s", deployment: "valparaiso", answered: 0.999},
