Give waits, identifiers and grown files one place each

Change: timer.Sleep, query.NewID; waiter.go, side.go, place.go, traffic.go, reply.go. No behaviour changes.

--- a/core/config/accept.go
+++ b/core/config/accept.go
@@ -9,6 +9,7 @@
 
 	"magnoliaworks/core/audit"
 	"magnoliaworks/core/object"
+	"magnoliaworks/core/timer"
 )
 
 // acceptPause is the wait between attempts to learn the fate of a change.
@@ -155,7 +156,7 @@
 				return v
 			}
 		}
-		pause(ctx, acceptPause)
+		_ = timer.Sleep(ctx, acceptPause)
 	}
 	return Unknown{
 		Reason: "the store did not answer; look for change " + p.ID + " in the audit trail",
@@ -176,12 +177,3 @@
 	}
 	return refusedBy(o)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/core/gather/order.go
+++ b/core/gather/order.go
@@ -11,6 +11,7 @@
 	"magnoliaworks/core/ledger"
 	"magnoliaworks/core/member"
 	"magnoliaworks/core/query"
+	"magnoliaworks/core/timer"
 	"magnoliaworks/core/trace"
 )
 
@@ -42,7 +43,7 @@
 			return answer, err
 		}
 		open = open || !errors.Is(err, ErrNotForwarded)
-		if wait(ctx, forwardPause) {
+		if timer.Sleep(ctx, forwardPause) == nil {
 			continue
 		}
 		if open {
@@ -101,7 +102,7 @@
 			if begun.Entry.State != ledger.Sent {
 				return recorded(begun.Entry)
 			}
-			if !wait(ctx, joinPause) {
+			if timer.Sleep(ctx, joinPause) != nil {
 				return query.Answer{}, query.OutcomeUnknown{
 					Reason: "the request is in progress or its host was lost; ask again with the same key",
 				}
@@ -258,15 +259,3 @@
 func contentHash(req query.Request) uint64 {
 	return xxhash.Sum64String(req.Collection + "\x00" + req.Kind + "\x00" + req.Text)
 }
-
-// wait sleeps and reports whether ctx is still running.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return ctx.Err() == nil
-	}
-}
--- a/core/ledger/partition.go
+++ b/core/ledger/partition.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"magnoliaworks/core/object"
+	"magnoliaworks/core/timer"
 	"magnoliaworks/core/trace"
 )
 
@@ -125,7 +126,7 @@
 		}
 	}
 	if wait := commitGap - time.Since(p.lastPut); wait > 0 {
-		pause(ctx, wait)
+		_ = timer.Sleep(ctx, wait)
 	}
 	for len(batch) < maxBatch {
 		select {
@@ -218,7 +219,7 @@
 	p.known = false
 	if errors.Is(err, object.ErrConflict) {
 		p.version++
-		pause(ctx, conflictPause)
+		_ = timer.Sleep(ctx, conflictPause)
 		return false
 	}
 	p.fail(ctx, err)
@@ -229,7 +230,7 @@
 	if p.failingSince.CompareAndSwap(0, time.Now().UnixNano()) {
 		p.journal.Record("ledger", p.key, "store failing", err.Error())
 	}
-	pause(ctx, retryPause)
+	_ = timer.Sleep(ctx, retryPause)
 }
 
 func (p *partition) recovered() {
@@ -237,12 +238,3 @@
 		p.journal.Record("ledger", p.key, "store answers again", "a call succeeded")
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/core/server/lane.go
+++ b/core/server/lane.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"magnoliaworks/core/query"
+	"magnoliaworks/core/timer"
 )
 
 const (
@@ -31,7 +32,7 @@
 		}
 		if err != nil {
 			s.unreached(err)
-			sleep(ctx, wait)
+			_ = timer.Sleep(ctx, wait)
 			wait = min(2*wait, redialMax)
 			continue
 		}
@@ -239,12 +240,3 @@
 }
 
 func (s *Server) deliver(job *Job, result query.Result) { job.deliver(result) }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/core/spread/watcher.go
+++ b/core/spread/watcher.go
@@ -9,6 +9,7 @@
 
 	"magnoliaworks/core/config"
 	"magnoliaworks/core/member"
+	"magnoliaworks/core/timer"
 )
 
 const (
@@ -66,7 +67,7 @@
 			revision, backoff = next, backoffMin
 			continue
 		}
-		w.rest(ctx, backoff)
+		_ = timer.Sleep(ctx, jittered(backoff))
 		backoff = min(2*backoff, backoffMax)
 	}
 	return nil
@@ -94,15 +95,8 @@
 	return revision, nil
 }
 
-// rest waits after a failure, with jitter, so that the end of an outage brings no stampede.
-func (w *watcher) rest(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d/2 + rand.N(d))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
+// jittered returns half to one and a half of d, so that the end of an outage brings no stampede.
+func jittered(d time.Duration) time.Duration { return d/2 + rand.N(d) }
 
 // chosen reports whether this host is among the watchers of its data centre.
 func (w *watcher) chosen() bool {
--- a/host.go
+++ b/host.go
@@ -6,15 +6,12 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/pkg/errors"
 
 	"magnoliaworks/core/config"
 	"magnoliaworks/core/gather"
@@ -160,7 +157,7 @@
 		Register: h.register,
 		Routes:   h.routes,
 		Journal:  h.journal,
-		NewID:    newID,
+		NewID:    query.NewID,
 	})
 	h.door = caller.New(runner{host: h}, h)
 	h.admin = admin.New(h.shell, h.meter.Handler())
@@ -277,12 +274,3 @@
 		cross: limit.NewBudget(b.Cross, budgetBurst),
 	}
 }
-
-// newID returns a random identifier of 16 hexadecimal digits.
-func newID() string {
-	var id [8]byte
-	if _, err := rand.Read(id[:]); err != nil {
-		panic(errors.Wrap(err, "read random bytes"))
-	}
-	return hex.EncodeToString(id[:])
-}
--- a/io/caller/decode.go
+++ b/io/caller/decode.go
@@ -2,10 +2,8 @@
 
 import (
 	"bytes"
-	"encoding/hex"
 	"encoding/json"
 	"io"
-	"math/rand/v2"
 	"time"
 	"unicode/utf8"
 
@@ -57,7 +55,7 @@
 
 func (b requestBody) request() (query.Request, error) {
 	req := query.Request{
-		ID:         newID(),
+		ID:         query.NewID(),
 		Caller:     b.Caller,
 		Collection: b.Collection,
 		Kind:       b.Kind,
@@ -80,13 +78,3 @@
 	req.Deadline = time.Duration(*b.DeadlineMS) * time.Millisecond
 	return req, nil
 }
-
-// newID returns a random identifier of 16 hexadecimal digits.
-func newID() string {
-	var id [8]byte
-	n := rand.Uint64()
-	for i := range id {
-		id[i] = byte(n >> (8 * i))
-	}
-	return hex.EncodeToString(id[:])
-}
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -12,6 +12,7 @@
 	"magnoliaworks/core/gather"
 	"magnoliaworks/core/member"
 	"magnoliaworks/core/query"
+	"magnoliaworks/core/timer"
 	"magnoliaworks/io/peer/frame"
 )
 
@@ -42,15 +43,6 @@
 	ended  bool
 }
 
-// waiter is a sub-request whose result is missing.
-type waiter struct {
-	token int
-	shard string
-	inbox chan<- gather.Reply
-	// left is set when the sub-request may have left this host.
-	left bool
-}
-
 func newLink(c *Client, peer member.Member) *link {
 	return &link{
 		client:  c,
@@ -130,7 +122,7 @@
 		if time.Since(opened) > relinkMax {
 			wait = relinkMin
 		}
-		pause(ctx, wait)
+		_ = timer.Sleep(ctx, wait)
 		wait = min(2*wait, relinkMax)
 		l.mend()
 	}
@@ -252,17 +244,6 @@
 	}
 }
 
-func (w *waiter) lost(err error) query.Result {
-	if !w.left {
-		return query.Unsent{
-			Reason: errText(err),
-		}
-	}
-	return query.Failed{
-		Reason: errText(err),
-	}
-}
-
 func (l *link) mend() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -284,19 +265,3 @@
 	l.mu.Unlock()
 	l.fail(errors.New("host stopped"))
 }
-
-func errText(err error) string {
-	if err == nil {
-		return "stream ended"
-	}
-	return err.Error()
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/serve.go
+++ b/serve.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"magnoliaworks/core/member"
+	"magnoliaworks/core/timer"
 )
 
 const (
@@ -136,7 +137,7 @@
 	h.door.Leave()
 	h.table.Announce(member.Leaving)
 	h.tellAll(ctx)
-	sleep(ctx, h.settings.LeaveWait)
+	_ = timer.Sleep(ctx, h.settings.LeaveWait)
 	err := h.door.Shutdown(ctx)
 	h.untilQuiet(ctx)
 	h.table.Announce(member.Left)
@@ -266,12 +267,3 @@
 	}
 	return addresses
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/stand/load/action.go
+++ b/stand/load/action.go
@@ -10,6 +10,7 @@
 	"magnoliaworks/core/config"
 	"magnoliaworks/core/plan"
 	"magnoliaworks/core/shell"
+	"magnoliaworks/core/timer"
 	"magnoliaworks/stand"
 )
 
@@ -166,7 +167,7 @@
 	}
 	for _, s := range replicas {
 		s.SetSnapshots(version-1, version)
-		if err := sleep(ctx, takeOver/time.Duration(len(replicas))); err != nil {
+		if err := timer.Sleep(ctx, takeOver/time.Duration(len(replicas))); err != nil {
 			return nil
 		}
 	}
@@ -202,7 +203,7 @@
 		host := r.fleet.Host(try % len(r.fleet.settings))
 		if _, err := host.Command(ctx, origin, command); err != nil {
 			r.log.Debug("command not accepted", "command", command, "error", err)
-			if sleep(ctx, commandPause) != nil {
+			if timer.Sleep(ctx, commandPause) != nil {
 				return errors.Wrap(ctx.Err(), command)
 			}
 		}
--- a/stand/load/client.go
+++ b/stand/load/client.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"magnoliaworks/core/config"
+	"magnoliaworks/core/timer"
 	"magnoliaworks/io/caller"
 	"magnoliaworks/stand"
 )
@@ -126,7 +127,7 @@
 		r := c.send(a, text, key)
 		c.run.tally.told(a, text, key, r)
 		open := r.err != nil || r.refusal == "outcome_unknown"
-		if key == "" || !open || ask == maxAsks || sleep(ctx, askAgain) != nil {
+		if key == "" || !open || ask == maxAsks || timer.Sleep(ctx, askAgain) != nil {
 			c.run.tally.ended(a, time.Since(a.due), r)
 			return
 		}
--- a/stand/load/control.go
+++ b/stand/load/control.go
@@ -7,6 +7,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"magnoliaworks/core/plan"
+	"magnoliaworks/core/timer"
 	"magnoliaworks/stand"
 )
 
@@ -40,10 +41,10 @@
 	if err != nil {
 		return Control{}, err
 	}
-	_ = sleep(ctx, span.Settle)
+	_ = timer.Sleep(ctx, span.Settle)
 	begin()
 	traffic, calls := network.Traffic(), platform.Store.Calls()
-	_ = sleep(ctx, over)
+	_ = timer.Sleep(ctx, over)
 	later, laterCalls := network.Traffic(), platform.Store.Calls()
 	end()
 	err = fleet.Stop()
--- a/stand/load/fleet.go
+++ b/stand/load/fleet.go
@@ -12,6 +12,7 @@
 
 	"magnoliaworks"
 	"magnoliaworks/core/setup"
+	"magnoliaworks/core/timer"
 	"magnoliaworks/io/hosts"
 	"magnoliaworks/stand"
 )
@@ -136,7 +137,7 @@
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for !f.complete() {
-		if err := sleep(ctx, readyStep); err != nil {
+		if err := timer.Sleep(ctx, readyStep); err != nil {
 			return errors.Errorf("hosts are not ready after %s", readyTimeout)
 		}
 	}
@@ -185,14 +186,3 @@
 	}
 	return f.tasks.Wait()
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/stand/load/run.go
+++ b/stand/load/run.go
@@ -12,6 +12,7 @@
 
 	"magnoliaworks/core/config"
 	"magnoliaworks/core/plan"
+	"magnoliaworks/core/timer"
 	"magnoliaworks/stand"
 )
 
@@ -89,7 +90,7 @@
 // bring switches a fault on and off at its times, which count from the end of the settling.
 func (r *run) bring(ctx context.Context, f Fault) error {
 	a := actions[f.Name]
-	if sleep(ctx, r.config.Settle+f.Start) != nil {
+	if timer.Sleep(ctx, r.config.Settle+f.Start) != nil {
 		return nil
 	}
 	r.log.Info("fault on", "fault", f.Name)
@@ -103,7 +104,7 @@
 	if length == 0 {
 		length = max(r.config.Duration-f.Start, 0)
 	}
-	_ = sleep(ctx, length)
+	_ = timer.Sleep(ctx, length)
 	r.log.Info("fault off", "fault", f.Name)
 	return a.off(ctx, r)
 }
@@ -119,7 +120,7 @@
 		if due.After(end) {
 			break
 		}
-		if sleep(ctx, time.Until(due)) != nil {
+		if timer.Sleep(ctx, time.Until(due)) != nil {
 			break
 		}
 		a := r.arrival(number, due, due.Sub(began) >= r.config.Settle)
@@ -181,7 +182,7 @@
 
 // sample watches the hosts: which are ready for the balancer, and that no configuration version falls.
 func (r *run) sample(ctx context.Context) error {
-	for sleep(ctx, sampleStep) == nil {
+	for timer.Sleep(ctx, sampleStep) == nil {
 		r.client.refresh(r.fleet.members())
 		for _, m := range r.fleet.members() {
 			r.tally.versions(m, m.host.Versions())
--- a/stand/network.go
+++ b/stand/network.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"magnoliaworks/core/plan"
+	"magnoliaworks/core/timer"
 )
 
 // Network joins the parts of an experiment. It knows where each address stands and delays what crosses data centres.
@@ -38,53 +39,6 @@
 	toServers    atomic.Int64
 }
 
-// Traffic is the number of bytes that have crossed a memory network, both ways.
-type Traffic struct {
-	BetweenHosts int64
-	ToStore      int64
-	ToServers    int64
-}
-
-// Traffic returns the bytes so far.
-func (n *Network) Traffic() Traffic {
-	return Traffic{
-		BetweenHosts: n.betweenHosts.Load(),
-		ToStore:      n.toStore.Load(),
-		ToServers:    n.toServers.Load(),
-	}
-}
-
-// counter returns the count that a connection adds to.
-func (n *Network) counter(from *Side, to place) *atomic.Int64 {
-	switch {
-	case from.dataCentre == Callers:
-		return nil
-	case to.server:
-		return &n.toServers
-	case to.owner == storeOwner:
-		return &n.toStore
-	default:
-		return &n.betweenHosts
-	}
-}
-
-// storeOwner owns the address of the platform's store.
-const storeOwner = "store"
-
-type place struct {
-	owner       string
-	dataCentre  string
-	connectTime time.Duration
-	server      bool
-}
-
-// connPlace tells which data centres and owners a connection joins.
-type connPlace struct {
-	from, to           string
-	fromOwner, toOwner string
-	server             bool
-}
-
 // Callers is the side of the network on which callers stand.
 const Callers = "callers"
 
@@ -198,7 +152,7 @@
 		return nil, errors.Wrapf(ctx.Err(), "dial %s", address)
 	}
 	delay := n.delayBetween(from.dataCentre, to.dataCentre)
-	if err := sleep(ctx, to.connectTime+2*delay); err != nil {
+	if err := timer.Sleep(ctx, to.connectTime+2*delay); err != nil {
 		return nil, errors.Wrapf(err, "dial %s", address)
 	}
 	if n.memory {
@@ -268,41 +222,3 @@
 	_ = from.Close()
 	return nil
 }
-
-// Side is the network as seen from one data centre. It implements magnoliaworks.Network.
-type Side struct {
-	network    *Network
-	dataCentre string
-	owner      string
-}
-
-// Listen implements magnoliaworks.Network.
-func (s *Side) Listen(address string) (net.Listener, error) {
-	if !s.network.memory {
-		return net.Listen("tcp", address)
-	}
-	l := newListener(address)
-	s.network.mu.Lock()
-	defer s.network.mu.Unlock()
-	s.network.listeners[address] = l
-	return l, nil
-}
-
-// Dial implements magnoliaworks.Network.
-func (s *Side) Dial(ctx context.Context, _, address string) (net.Conn, error) {
-	return s.network.dial(ctx, s, address)
-}
-
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/stand/server.go
+++ b/stand/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -11,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 	"google.golang.org/protobuf/proto"
 
+	"magnoliaworks/core/timer"
 	"magnoliaworks/io/dialer"
 	"magnoliaworks/io/dialer/wire"
 )
@@ -270,7 +270,7 @@
 		Snapshot:   request.GetSnapshot(),
 		At:         time.Now(),
 	})
-	if sleep(ctx, s.serviceTime()) != nil {
+	if timer.Sleep(ctx, s.serviceTime()) != nil {
 		return wire.Outcome_OUTCOME_CANCELLED
 	}
 	s.record.End(request.GetRequestId(), place)
@@ -287,50 +287,3 @@
 	}
 	return time.Duration(f * float64(s.spec.ServiceTime))
 }
-
-func (s *Server) replyTo(request *wire.SearchRequest, outcome wire.Outcome) *wire.SearchReply {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	r := &wire.SearchReply{
-		RequestId: request.GetRequestId(),
-		Attempt:   request.GetAttempt(),
-		Snapshot:  request.GetSnapshot(),
-		Outcome:   outcome,
-		Status:    s.status(),
-	}
-	if outcome == wire.Outcome_OUTCOME_DONE {
-		r.Hits = hits(request)
-	}
-	return r
-}
-
-// hits makes up results that show which request, shard and snapshot they belong to.
-func hits(request *wire.SearchRequest) []*wire.Hit {
-	n := min(int(request.GetLimit()), hitsEach)
-	made := make([]*wire.Hit, n)
-	for i := range made {
-		made[i] = &wire.Hit{
-			Id:    fmt.Sprintf("%d/%s/%d", request.GetSnapshot(), request.GetShard(), i),
-			Score: 1 / float64(i+1),
-			Title: request.GetText(),
-		}
-	}
-	return made
-}
-
-func (s *Server) status() *wire.Status {
-	status := &wire.Status{
-		StartId:        s.start,
-		Draining:       !s.draining.IsZero(),
-		InProgress:     uint32(len(s.running)),
-		Slots:          uint32(s.spec.Slots),
-		OldestSnapshot: s.oldest,
-		NewestSnapshot: s.newest,
-	}
-	if s.lies {
-		status.InProgress = 0
-	}
-	return status
-}
-
-func runID(requestID string, attempt uint32) string { return fmt.Sprintf("%s/%d", requestID, attempt) }
