Let estimates grow when a server loses against a hedge

Cause: 2 % of cross-arcade searches waited until their deadline under stragglers. A slow server that loses against its hedge is cancelled at the time of the winner, so its observed time was about twice the usual one and never the true one; its estimate stayed below the gain that a far server must bring, and it was chosen again. Ruled out: the hedge budget (extra load 1.7 % of 3 %) and the budget for far servers (8.7 % of 25 %). Change: each loss multiplies the estimate by 1.5.

--- a/core/route/score.go
+++ b/core/route/score.go
@@ -8,6 +8,10 @@
 const (
 	// scoreWeight is the weight of a new observation in the smoothed time.
 	scoreWeight = 0.2
+	// lostFactor multiplies the estimate of a server that lost against a hedge.
+	lostFactor = 1.5
+	// maxEstimate bounds an estimate.
+	maxEstimate = 5 * time.Second
 	// ejectAfter is the number of failures in a row after which a server is not chosen.
 	ejectAfter = 3
 	// ejectTime is the time before an ejected server is tried again.
@@ -53,14 +57,13 @@
 	s.finish += time.Duration(scoreWeight * float64(took-s.finish))
 }
 
-// slow records a sub-request that was given up after the given time; the true time is at least that.
+// slow records a sub-request that was given up after the given time because another server was faster.
+// The true time is not known but longer, so the estimate grows by a factor until the server is passed over.
 func (s *score) slow(took time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.outstanding--
-	if took > s.finish {
-		s.finish += time.Duration(scoreWeight * float64(took-s.finish))
-	}
+	s.finish = min(time.Duration(lostFactor*float64(max(took, s.finish))), maxEstimate)
 }
 
 // refused records a refusal and passes the server over for a moment.
