Replace all connections as old as one that went silent

With half of the connections silent a sub-request met a silent one, was sent again on another that was silent as well, and its hedge and retry met the same at the next server: each costs the patience and a probe. Change: when a connection is found silent, or does not prove itself, all connections to that server that are as old are replaced; a request that has not left goes back to the queue any number of times.

--- a/core/server/lane.go
+++ b/core/server/lane.go
@@ -47,9 +47,10 @@
 // serve runs jobs on a connection until it is of no more use.
 func (s *Server) serve(ctx context.Context, conn Conn) {
 	inbox := make(chan *Job, 1)
-	for s.wait(inbox) {
+	opened := time.Now()
+	for !s.suspects(opened) && s.wait(inbox) {
 		job, ok := s.next(ctx, inbox)
-		if !ok {
+		if !ok || job == nil {
 			return
 		}
 		usable := s.exchange(conn, job)
@@ -72,6 +73,7 @@
 	return true
 }
 
+// next returns the next job, or nil when the connection is to be replaced; ok is false when ctx has ended.
 func (s *Server) next(ctx context.Context, inbox chan *Job) (*Job, bool) {
 	select {
 	case job := <-inbox:
@@ -107,6 +109,7 @@
 		return true
 	}
 	if !job.sub.Repeatable() && !s.proves(conn, job) {
+		s.retire(job.started)
 		s.resend(job, query.Unsent{
 			Reason: "connection lost before the request was sent",
 		})
@@ -149,7 +152,7 @@
 	if err == nil && !known {
 		reply, err = conn.Await(job.sub, time.Now().Add(lastLook))
 		if errors.Is(err, ErrSilent) {
-			s.journal.Record("server", s.spec.ID, "connection closed", "it went silent while the server answers on another one")
+			s.retire(job.started)
 			return Reply{}, errLostTrack
 		}
 		return reply, err
@@ -180,7 +183,7 @@
 // resend queues a job for another connection if it may run twice or has not left, and delivers otherwise.
 func (s *Server) resend(job *Job, otherwise query.Result) {
 	_, unsent := otherwise.(query.Unsent)
-	if (unsent || job.sub.Repeatable()) && s.requeue(job) {
+	if (unsent || job.sub.Repeatable()) && s.requeue(job, !unsent) {
 		return
 	}
 	s.deliver(job, otherwise)
--- a/core/server/observe.go
+++ b/core/server/observe.go
@@ -86,6 +86,31 @@
 	s.unverified = true
 }
 
+// retire has all connections replaced that are as old as one that went silent at the given time,
+// since what silenced one has often silenced others.
+func (s *Server) retire(silentAt time.Time) {
+	s.mu.Lock()
+	first := silentAt.After(s.suspect)
+	if first {
+		s.suspect = time.Now()
+		for _, lane := range s.idle {
+			lane <- nil
+		}
+		s.idle = nil
+	}
+	s.mu.Unlock()
+	if first {
+		s.journal.Record("server", s.spec.ID, "connections replaced", "one went silent")
+	}
+}
+
+// suspects reports whether a connection opened at the given time is to be replaced.
+func (s *Server) suspects(opened time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return opened.Before(s.suspect)
+}
+
 // patience is the time after which a reply is late enough to ask the server about it.
 func (s *Server) patience() time.Duration {
 	s.mu.Lock()
--- a/core/server/server.go
+++ b/core/server/server.go
@@ -42,6 +42,8 @@
 	running map[chan *Job]*Job
 	warmup  limit.Warmup
 	status  Status
+	// suspect is the time before which opened connections are to be replaced.
+	suspect time.Time
 	// unverified is set after a connection was lost until a reply shows whether the server has restarted.
 	unverified bool
 	// down is set while no connection can be opened.
@@ -215,14 +217,15 @@
 	s.endIfIdle()
 }
 
-// requeue returns a job that may be sent again, once; it reports false when the job has had its second try.
-func (s *Server) requeue(job *Job) bool {
+// requeue returns a job to the queue: any number of times while it has not been sent, once after that.
+// It reports false when the job has had its second try or the server takes none.
+func (s *Server) requeue(job *Job, sent bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if job.resent || s.closed || s.down {
+	if (sent && job.resent) || s.closed || s.down {
 		return false
 	}
-	job.resent = true
+	job.resent = job.resent || sent
 	job.sent = false
 	if !job.cancelled {
 		heap.Push(&s.queue, job)
