Hold traffic of a cut link instead of losing bytes inside connections

Cause: hosts logged COMPRESSION_ERROR and PROTOCOL_ERROR of HTTP/2 after peer_link_loss. The stand-in network dropped what was written during a cut and let later bytes of the same connection pass, which TCP never does. Ruled out: an error of the hosts, since their streams were cut off in the middle of a frame. Change: a cut holds traffic back and lets it go on afterwards; silent connections stay silent for good, as before.

--- a/stand/network.go
+++ b/stand/network.go
@@ -115,7 +115,7 @@
 	}
 }
 
-// Cut stops all traffic between two data centres, or lets it pass again.
+// Cut keeps back all traffic between two data centres, or lets it go on, as TCP does when a link is back.
 func (n *Network) Cut(a, b string, cut bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -123,7 +123,7 @@
 	n.cut[[2]string{b, a}] = cut
 	for p, c := range n.conns {
 		if (c.from == a && c.to == b) || (c.from == b && c.to == a) {
-			p.silence(cut)
+			p.hold(cut)
 		}
 	}
 }
