Forget addresses of hosts that are gone; remove what nobody calls

Cause: a reading of the whole change found peer.Client.Forget never called, so a host kept a client for every address it had ever pinged, and Budget.Denied, Record.KeyRuns and Record.Received without a caller. Change: a change of the view forgets addresses that are not in it; the three are removed with their counts. No check used them. Measured: 'go vet', staticcheck, 'go test . ./core/... ./stand ./cmd/...' and 'go test ./stand/load -run TestFaults/.*/(host_restart|host_pause|peer_link|server_leave)' pass. The memory of the kept clients was not measured.

--- a/core/limit/budget.go
+++ b/core/limit/budget.go
@@ -10,7 +10,6 @@
 	share  float64
 	burst  float64
 	tokens float64
-	denied uint64
 }
 
 // NewBudget returns a full budget that grants share extra units for each ordinary unit and at most burst at once.
@@ -34,7 +33,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.tokens < 1 {
-		b.denied++
 		return false
 	}
 	b.tokens--
@@ -47,10 +45,3 @@
 	defer b.mu.Unlock()
 	b.share = share
 }
-
-// Denied returns how many units the budget has refused.
-func (b *Budget) Denied() uint64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.denied
-}
--- a/host.go
+++ b/host.go
@@ -254,6 +254,11 @@
 	}
 	h.picker.Keep(known)
 	h.holdings.Keep(known)
+	addresses := make(map[string]bool)
+	for _, m := range table.View.Members() {
+		addresses[m.Address] = true
+	}
+	h.peers.Forget(func(address string) bool { return addresses[address] })
 }
 
 func selfOf(s setup.Settings) member.Member {
--- a/stand/record.go
+++ b/stand/record.go
@@ -10,8 +10,7 @@
 	mu   sync.Mutex
 	runs map[string][]Run
 	// keys counts the runs of requests that may not be repeated.
-	keys     map[string]int
-	received int
+	keys map[string]int
 	// The rest counts work that a server should not have been given.
 	coldOverload int
 	drainedWork  int
@@ -51,13 +50,6 @@
 	return append([]Run(nil), r.runs[requestID]...)
 }
 
-// KeyRuns returns the number of runs of a request that may not be repeated.
-func (r *Record) KeyRuns(key string) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.keys[key]
-}
-
 // Keys returns the number of runs of each request that may not be repeated.
 func (r *Record) Keys() map[string]int {
 	r.mu.Lock()
@@ -69,13 +61,6 @@
 	return keys
 }
 
-// Received returns the number of sub-requests that reached a server.
-func (r *Record) Received() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.received
-}
-
 // Faulty returns the counts of work that servers should not have been given.
 func (r *Record) Faulty() Faulty {
 	r.mu.Lock()
--- a/stand/server.go
+++ b/stand/server.go
@@ -245,7 +245,6 @@
 	late := func(t time.Time) bool { return !t.IsZero() && time.Since(t) > noticeTime }
 	leaving, drained := late(s.draining), late(s.takenOut)
 	s.record.note(func(r *Record) {
-		r.received++
 		if leaving {
 			r.leavingWork++
 		}
