Gather the shards that lack near replicas by one message to another data centre

Ruled out: gossip and the feed (they stay in the data centre). The lacking shards of a search go as one message to the host ranked first of a data centre that has them all; it hedges and answers with what it has before the sender must. A host that does not answer is passed over for 2 s. A bundle that failed after it was sent is not repeated, since the other host may have used up the attempts.

--- /dev/null
+++ b/core/relay/bundle.go
@@ -0,0 +1,251 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"magnoliaworks/core/member"
+	"magnoliaworks/core/query"
+	"magnoliaworks/core/scheme"
+	"magnoliaworks/core/trace"
+)
+
+const (
+	// minBundle is the least number of shards for which one message to another host saves bytes over one for each shard.
+	minBundle = 3
+	// hopTime is the time that an answer takes from a host of another data centre to this one.
+	hopTime = 5 * time.Millisecond
+)
+
+// ErrNotRelayed reports that a message did not leave this host.
+var ErrNotRelayed = errors.New("message was not relayed")
+
+// Peers run messages for this host.
+type Peers interface {
+	// Relay has another host ask the services for their parts and returns what it gathered.
+	// The error is ErrNotRelayed when the message did not leave this host.
+	Relay(ctx context.Context, to member.Member, m *query.Message, services []string) (Bundle, error)
+}
+
+// Bundle holds the merged parts of some shards of a set.
+type Bundle struct {
+	// Proofs are the servers' signatures of the parts that are in.
+	Proofs []string
+	// Body holds the greatest records of the parts, the greatest first.
+	Body []byte
+	// Missing are the services that are left out, and Unsent those of them that no server was asked for.
+	Missing []string
+	Unsent  []string
+}
+
+// bundle is what a flight has another host gather. The flight's task owns it, but for results.
+type bundle struct {
+	host    member.Member
+	sent    time.Time
+	group   errgroup.Group
+	cancel  context.CancelFunc
+	results chan bundleResult
+	ended   bool
+	// doubted is set once the host has been passed over.
+	doubted bool
+}
+
+type bundleResult struct {
+	bundle Bundle
+	err    error
+}
+
+// delegate hands the shards without a replica in this data centre to a host of one that has them,
+// so that one message and one reply cross in place of one for each shard.
+func (f *flight) delegate(now time.Time) {
+	target, ok := f.route.Target.(scheme.Shards)
+	if !ok || f.r.parts.Peers == nil || f.bundled || f.message.NoBody || len(f.message.Body) > 0 {
+		return
+	}
+	t := f.r.table.Load()
+	lacking := t.lacking(target.Services, f.r.parts.DataCentre)
+	if len(lacking) < minBundle {
+		return
+	}
+	host, ok := f.r.helpers.choose(f.r.parts.Hosts.Working(), now, func(dataCentre string) bool {
+		return dataCentre != f.r.parts.DataCentre && len(t.lacking(lacking, dataCentre)) == 0
+	})
+	if !ok {
+		return
+	}
+	f.sendBundle(host, lacking, now)
+}
+
+// sendBundle sends the bundle and marks its shards as pending.
+func (f *flight) sendBundle(host member.Member, services []string, now time.Time) {
+	wanted := setOf(services)
+	for i := range f.shards {
+		s := &f.shards[i]
+		if wanted[s.service] {
+			s.delegated = true
+			s.pending++
+			s.hedgeAt = f.until
+		}
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), f.until)
+	b := &bundle{
+		host:    host,
+		sent:    now,
+		cancel:  cancel,
+		results: make(chan bundleResult, 1),
+	}
+	b.group.Go(func() error {
+		gathered, err := f.r.parts.Peers.Relay(ctx, host, f.message, services)
+		b.results <- bundleResult{
+			bundle: gathered,
+			err:    err,
+		}
+		return nil
+	})
+	f.bundle = b
+	f.r.parts.Meter.Call(delegated, true)
+	f.step(trace.Step{
+		What:   delegated,
+		Server: host.ID,
+		Detail: host.DataCentre,
+	})
+}
+
+// results returns the channel of the bundle's result; it is nil without one.
+func (f *flight) results() <-chan bundleResult {
+	if f.bundle == nil || f.bundle.ended {
+		return nil
+	}
+	return f.bundle.results
+}
+
+// takeBundle handles what the other host gathered. Shards that it left out are asked directly only if it asked no server
+// for them: another server would exceed the attempts of the route.
+func (f *flight) takeBundle(r bundleResult) {
+	f.bundle.ended = true
+	if r.err != nil {
+		f.r.helpers.failed(f.bundle.host.ID, time.Now())
+		f.r.parts.Journal.Record("relay", f.message.ID, "not answered by host "+f.bundle.host.ID, r.err.Error())
+	} else {
+		f.gathered = &r.bundle
+	}
+	none := errors.Is(r.err, ErrNotRelayed)
+	missing, unsent := setOf(r.bundle.Missing), setOf(r.bundle.Unsent)
+	for i := range f.shards {
+		s := &f.shards[i]
+		if !s.delegated {
+			continue
+		}
+		s.pending--
+		switch {
+		case none:
+			f.begin(i, time.Now())
+		case unsent[s.service]:
+			f.send(i, first)
+		case r.err != nil || missing[s.service]:
+			s.ran++
+			f.giveUp(i, "left out by host "+f.bundle.host.ID)
+		default:
+			s.ran++
+			f.answer(i)
+		}
+	}
+}
+
+// endBundle ends the call to the other host. One that kept this host waiting in vain is passed over for a while.
+func (f *flight) endBundle() {
+	b := f.bundle
+	if b == nil {
+		return
+	}
+	if !b.ended && !f.left {
+		f.doubtHelper()
+	}
+	b.cancel()
+	_ = b.group.Wait()
+}
+
+// doubtBundle passes the other host over in other searches once its answer is overdue:
+// it answers with what it has before this host has to.
+func (f *flight) doubtBundle(now time.Time) {
+	if f.bundle != nil && !f.bundle.ended && !now.Before(f.answerBy) {
+		f.doubtHelper()
+	}
+}
+
+func (f *flight) doubtHelper() {
+	if f.bundle.doubted {
+		return
+	}
+	f.bundle.doubted = true
+	f.r.helpers.failed(f.bundle.host.ID, time.Now())
+	f.step(trace.Step{
+		What:   "no answer yet",
+		Server: f.bundle.host.ID,
+	})
+}
+
+// Gather asks the services of a message's shard set for their parts, for another host.
+func (r *Relay) Gather(ctx context.Context, m *query.Message, services []string) (Bundle, error) {
+	r.inside.Add(1)
+	defer r.inside.Add(-1)
+	plan := r.table.Load().state.Plan()
+	if plan == nil {
+		return Bundle{}, errors.New("no configuration received yet")
+	}
+	matched, ok := plan.Match(m.Host, m.Path)
+	if !ok {
+		return Bundle{}, errors.Errorf("no route of host %q begins the path", m.Host)
+	}
+	if _, ok := matched.Target.(scheme.Shards); !ok {
+		return Bundle{}, errors.Errorf("route %q names no shard set", matched.Name)
+	}
+	m.Spent += hopTime
+	f := r.newFlight(peerCaller{ctx}, m, matched, services)
+	f.bundled = true
+	f.version = plan.Version
+	f.collect()
+	b := f.gatherBundle(matched.Target.(scheme.Shards))
+	r.keep(f, nil)
+	return b, nil
+}
+
+// gatherBundle merges the parts that have come.
+func (f *flight) gatherBundle(target scheme.Shards) Bundle {
+	f.withdraw()
+	var b Bundle
+	var bodies [][]byte
+	for i := range f.shards {
+		s := &f.shards[i]
+		switch {
+		case s.part != nil:
+			b.Proofs = append(b.Proofs, s.part.Proof)
+			bodies = append(bodies, s.part.Body)
+			continue
+		case s.ran == 0 && s.pending == 0:
+			b.Unsent = append(b.Unsent, s.service)
+		}
+		b.Missing = append(b.Missing, s.service)
+	}
+	b.Body = merge(bodies, target.Top)
+	return b
+}
+
+func setOf(services []string) map[string]bool {
+	set := make(map[string]bool, len(services))
+	for _, s := range services {
+		set[s] = true
+	}
+	return set
+}
+
+// peerCaller is a host that waits for an answer.
+type peerCaller struct {
+	ctx context.Context
+}
+
+// Gone implements Caller.
+func (c peerCaller) Gone() <-chan struct{} { return c.ctx.Done() }
--- a/core/relay/flight.go
+++ b/core/relay/flight.go
@@ -39,10 +39,11 @@
 
 // Reasons for calls.
 const (
-	first  = "first"
-	retry  = "retry"
-	hedge  = "hedge"
-	mirror = "mirror"
+	first     = "first"
+	retry     = "retry"
+	hedge     = "hedge"
+	mirror    = "mirror"
+	delegated = "delegated"
 )
 
 // flight is one message on its way. One task owns it.
@@ -65,8 +66,11 @@
 	steps    []trace.Step
 	// version is the version of the configuration that the route is of.
 	version uint64
-	// repeated is set when another host may have run the message, so that even first calls are repeats.
-	repeated bool
+	// bundled is set when the flight gathers a part of a shard set for another host.
+	bundled bool
+	// bundle is what another host gathers for this flight, gathered what it has brought.
+	bundle   *bundle
+	gathered *Bundle
 }
 
 // shard is one service that a part is wanted of; a message to one service has one shard.
@@ -76,10 +80,14 @@
 	pending int
 	sends   int
 	// ran counts the servers on which the message has or may have run.
-	ran     int
-	closed  bool
-	hedgeAt time.Time
-	part    *query.Part
+	ran int
+	// delegated is set when another host was asked for the part.
+	delegated bool
+	closed    bool
+	hedgeAt   time.Time
+	// in is set once the part is in; part holds it unless another host gathered it.
+	in   bool
+	part *query.Part
 	// failure is the last failure that a server replied with.
 	failure *query.Part
 	reason  string
@@ -99,8 +107,7 @@
 	result query.Result
 }
 
-func (r *Relay) newFlight(caller Caller, m *query.Message, matched *scheme.Route) *flight {
-	services := r.services(matched)
+func (r *Relay) newFlight(caller Caller, m *query.Message, matched *scheme.Route, services []string) *flight {
 	wait := m.Wait
 	if matched.Timeout > 0 {
 		wait = min(wait, matched.Timeout)
@@ -128,48 +135,50 @@
 	return f
 }
 
-// fly sends the calls and collects results until each shard has one or time is up.
+// fly runs the message and returns its answer.
 func (f *flight) fly() (Answer, error) {
+	f.collect()
+	return f.finish()
+}
+
+// collect sends the calls and takes in results until each shard has one, the least coverage is reached late, or time is up.
+func (f *flight) collect() {
 	defer f.letGo()
+	defer f.endBundle()
 	now := time.Now()
 	f.r.parts.Picker.Earn(len(f.shards))
+	f.delegate(now)
 	for i := range f.shards {
-		f.begin(i, now)
+		if !f.shards[i].delegated {
+			f.begin(i, now)
+		}
 	}
 	alarm := time.NewTimer(time.Until(f.wake()))
 	defer alarm.Stop()
-	for f.open > 0 && !f.left {
+	for f.open > 0 && !f.left && !f.enough() {
 		select {
 		case a := <-f.inbox:
 			f.take(a)
+		case r := <-f.results():
+			f.takeBundle(r)
 		case <-f.gone:
 			f.left = true
 		case <-alarm.C:
 			now := time.Now()
 			if !now.Before(f.until) {
-				return f.finish()
+				return
 			}
 			f.watch(now)
+			f.doubtBundle(now)
 			f.hedge(now)
 			alarm.Reset(max(time.Until(f.wake()), time.Millisecond))
 		}
-		if f.enough() {
-			break
-		}
 	}
-	return f.finish()
 }
 
 // begin makes the first call for a shard.
 func (f *flight) begin(i int, now time.Time) {
-	service := f.shards[i].service
-	if f.repeated && !f.r.extra(service) {
-		f.giveUp(i, "the budget for repeated calls is empty")
-		return
-	}
-	if !f.repeated {
-		f.r.budget(service).Ordinary(now)
-	}
+	f.r.budget(f.shards[i].service).Ordinary(now)
 	if f.send(i, first) {
 		f.mirror(i, now)
 	}
@@ -182,7 +191,7 @@
 
 func (f *flight) covered() bool {
 	target, ok := f.route.Target.(scheme.Shards)
-	if !ok {
+	if !ok || f.bundled {
 		return f.answered > 0
 	}
 	return float64(f.answered) >= target.MinCoverage*float64(len(f.shards))
--- /dev/null
+++ b/core/relay/helpers.go
@@ -0,0 +1,67 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"magnoliaworks/core/member"
+)
+
+const (
+	// helperChoices is the number of hosts among which a host looks for one to gather for it; few keep connections few.
+	helperChoices = 3
+	// helperPassed is the time for which a host that did not answer is passed over.
+	helperPassed = 2 * time.Second
+)
+
+// helpers chooses the hosts of other data centres that gather for this one. It is safe for concurrent use.
+type helpers struct {
+	self string
+
+	mu sync.Mutex
+	// passed holds the time until which a host is passed over.
+	passed map[string]time.Time
+}
+
+func newHelpers(self string) *helpers {
+	return &helpers{
+		self:   self,
+		passed: make(map[string]time.Time),
+	}
+}
+
+// choose returns the host ranked first for this one that answered lately, among those in the data centres that fit.
+func (h *helpers) choose(hosts []member.Member, now time.Time, fits func(dataCentre string) bool) (member.Member, bool) {
+	fit := make(map[string]bool)
+	candidates := make([]member.Member, 0, len(hosts))
+	for _, m := range hosts {
+		ok, known := fit[m.DataCentre]
+		if !known {
+			ok = fits(m.DataCentre)
+			fit[m.DataCentre] = ok
+		}
+		if ok {
+			candidates = append(candidates, m)
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, m := range member.Rank(candidates, "gather/"+h.self, helperChoices) {
+		if now.After(h.passed[m.ID]) {
+			return m, true
+		}
+	}
+	return member.Member{}, false
+}
+
+// failed passes a host over for a while.
+func (h *helpers) failed(host string, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for id, until := range h.passed {
+		if now.After(until) {
+			delete(h.passed, id)
+		}
+	}
+	h.passed[host] = now.Add(helperPassed)
+}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -27,7 +27,7 @@
 	Meter   Meter
 	// Bounds returns the fleet-wide bounds in force.
 	Bounds func() Bounds
-	// Peers are nil on a host that relays nothing to others.
+	// Peers gather for this host; they are nil on a host that is alone.
 	Peers Peers
 	// DataCentre is the data centre of this host and Self its ID.
 	DataCentre string
@@ -74,9 +74,11 @@
 
 // Relay runs messages. It is safe for concurrent use.
 type Relay struct {
-	parts  Parts
-	table  atomic.Pointer[table]
-	inside atomic.Int64
+	parts Parts
+	table atomic.Pointer[table]
+	// helpers are the hosts that gather for this one.
+	helpers *helpers
+	inside  atomic.Int64
 	// ended counts good messages; kept bounds those that are logged.
 	ended   atomic.Uint64
 	kept    limit.Rate
@@ -90,6 +92,7 @@
 func New(parts Parts) *Relay {
 	r := &Relay{
 		parts:   parts,
+		helpers: newHelpers(parts.Self),
 		budgets: make(map[string]*limit.Window),
 		rates:   make(map[string]*limit.Rate),
 		turns:   make(map[string]*atomic.Uint64),
@@ -150,18 +153,8 @@
 			Reason: "no route of host " + m.Host + " begins the path",
 		}
 	}
-	answer, sent := r.elsewhere(m, matched)
-	if answer != nil {
-		return answer, nil
-	}
-	return r.run(caller, m, matched, sent)
-}
-
-// run sends a message to backend servers; repeated tells that it may have run on some already.
-func (r *Relay) run(caller Caller, m *query.Message, matched *scheme.Route, repeated bool) (Answer, error) {
-	f := r.newFlight(caller, m, matched)
-	f.repeated = repeated
-	f.version = r.table.Load().state.Plan().Version
+	f := r.newFlight(caller, m, matched, r.services(matched))
+	f.version = plan.Version
 	answer, err := f.fly()
 	r.keep(f, err)
 	return answer, err
--- a/core/relay/table.go
+++ b/core/relay/table.go
@@ -58,18 +58,24 @@
 	return xxhash.Sum64String(r.parts.Self)
 }
 
-// share returns the share of a shard set that has a replica in a data centre.
-func (t *table) share(target scheme.Shards, dataCentre string) float64 {
-	near := 0
-	for _, service := range target.Services {
-		for _, s := range t.replicas[service] {
-			if s.DataCentre == dataCentre {
-				near++
-				break
-			}
+// lacking returns the services without a server in a data centre.
+func (t *table) lacking(services []string, dataCentre string) []string {
+	var lacking []string
+	for _, service := range services {
+		if !t.has(service, dataCentre) {
+			lacking = append(lacking, service)
 		}
 	}
-	return float64(near) / float64(max(len(target.Services), 1))
+	return lacking
+}
+
+func (t *table) has(service, dataCentre string) bool {
+	for _, s := range t.replicas[service] {
+		if s.DataCentre == dataCentre {
+			return true
+		}
+	}
+	return false
 }
 
 // budget returns the budget for repeated calls to a service.
--- a/core/relay/take.go
+++ b/core/relay/take.go
@@ -49,8 +49,15 @@
 	if s.closed {
 		return
 	}
-	s.closed = true
 	s.part = part
+	f.answer(i)
+}
+
+// answer closes a shard whose part is in.
+func (f *flight) answer(i int) {
+	s := &f.shards[i]
+	s.closed = true
+	s.in = true
 	f.open--
 	f.answered++
 	for t := range f.attempts {
@@ -156,6 +163,10 @@
 				proofs = append(proofs, part.Proof)
 			}
 		}
+		if f.gathered != nil {
+			bodies = append(bodies, f.gathered.Body)
+			proofs = append(proofs, f.gathered.Proofs...)
+		}
 		return Gathered{
 			Proofs:  proofs,
 			Missing: len(f.shards) - f.answered,
@@ -198,7 +209,7 @@
 		Total:    len(f.shards),
 	}
 	for i := range f.shards {
-		if f.shards[i].part == nil {
+		if !f.shards[i].in {
 			c.Missing = append(c.Missing, f.shards[i].service)
 		}
 	}
--- a/gateway.go
+++ b/gateway.go
@@ -70,6 +70,7 @@
 		Journal:    h.journal,
 		Meter:      h.meter,
 		Bounds:     h.bounds,
+		Peers:      h.peers,
 		DataCentre: h.settings.DataCentre,
 		Self:       h.settings.ID,
 	})
--- a/io/peer/frame/frame.connect.go
+++ b/io/peer/frame/frame.connect.go
@@ -63,7 +63,7 @@
 	Ask(context.Context, *connect.Request[AskRequest]) (*connect.Response[AskReply], error)
 	// Feed returns what a host has learnt of the platform's store after a place, and waits a while for news.
 	Feed(context.Context, *connect.Request[FeedRequest]) (*connect.Response[FeedReply], error)
-	// Relay runs a message to a shard set for a host that has no replicas near it.
+	// Relay asks some shards of a set for their parts, for a host that has no replicas of them near it.
 	Relay(context.Context, *connect.Request[RelayRequest]) (*connect.Response[RelayReply], error)
 }
 
@@ -183,7 +183,7 @@
 	Ask(context.Context, *connect.Request[AskRequest]) (*connect.Response[AskReply], error)
 	// Feed returns what a host has learnt of the platform's store after a place, and waits a while for news.
 	Feed(context.Context, *connect.Request[FeedRequest]) (*connect.Response[FeedReply], error)
-	// Relay runs a message to a shard set for a host that has no replicas near it.
+	// Relay asks some shards of a set for their parts, for a host that has no replicas of them near it.
 	Relay(context.Context, *connect.Request[RelayRequest]) (*connect.Response[RelayReply], error)
 }
 
--- a/io/peer/relay.go
+++ b/io/peer/relay.go
@@ -15,12 +15,12 @@
 
 // Gatherer runs messages to shard sets for other hosts.
 type Gatherer interface {
-	// Gather returns the merged answer to a message; it ends with ctx.
-	Gather(ctx context.Context, m *query.Message) (relay.Gathered, error)
+	// Gather returns the merged parts of some services of a message's shard set; it ends with ctx.
+	Gather(ctx context.Context, m *query.Message, services []string) (relay.Bundle, error)
 }
 
 // Relay implements relay.Peers.
-func (c *Client) Relay(ctx context.Context, to member.Member, m *query.Message) (relay.Gathered, error) {
+func (c *Client) Relay(ctx context.Context, to member.Member, m *query.Message, services []string) (relay.Bundle, error) {
 	spent := time.Since(m.Arrived) + m.Spent
 	reply, err := c.lasting(to.Address).Relay(ctx, newRequest(&frame.RelayRequest{
 		Id:          m.ID,
@@ -29,17 +29,19 @@
 		Head:        m.Head,
 		RemainingUs: uint32(max(m.Wait-spent, 0).Microseconds()),
 		SpentUs:     uint32(spent.Microseconds()),
+		Services:    services,
 	}))
 	if notDialled(err) {
-		return relay.Gathered{}, errors.Wrapf(relay.ErrNotRelayed, "host %s: %v", to.ID, err)
+		return relay.Bundle{}, errors.Wrapf(relay.ErrNotRelayed, "host %s: %v", to.ID, err)
 	}
 	if err != nil {
-		return relay.Gathered{}, errors.Wrapf(err, "relay to host %s", to.ID)
+		return relay.Bundle{}, errors.Wrapf(err, "relay to host %s", to.ID)
 	}
-	return relay.Gathered{
+	return relay.Bundle{
 		Proofs:  reply.Msg.GetProofs(),
-		Missing: int(reply.Msg.GetMissing()),
 		Body:    reply.Msg.GetBody(),
+		Missing: reply.Msg.GetMissing(),
+		Unsent:  reply.Msg.GetUnsent(),
 	}, nil
 }
 
@@ -58,13 +60,15 @@
 		Arrived: time.Now(),
 		Spent:   spent,
 		Wait:    time.Duration(in.GetRemainingUs())*time.Microsecond + spent,
-	})
+		Bare:    true,
+	}, in.GetServices())
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
 	return connect.NewResponse(&frame.RelayReply{
 		Proofs:  answer.Proofs,
-		Missing: uint32(answer.Missing),
 		Body:    answer.Body,
+		Missing: answer.Missing,
+		Unsent:  answer.Unsent,
 	}), nil
 }
--- /dev/null
+++ b/stand/site/bundle_test.go
@@ -0,0 +1,71 @@
+package site
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// TestHostsOfOtherCentresGather asks a host of a data centre that lacks replicas of some or all shards.
+// The hosts of other data centres are well, lose their links to it, stand still, or end.
+func TestHostsOfOtherCentresGather(t *testing.T) {
+	const n = 100
+	cases := []struct {
+		name   string
+		centre string
+		// sends is the largest number of messages that the host sends to servers itself, and answered the least number of good answers.
+		sends, answered int
+		trouble         func(r *rig)
+	}{
+		{name: "well, no replica", centre: "south", sends: 0, answered: n},
+		{name: "well, some replicas", centre: "east", sends: n + n/10, answered: n},
+		{name: "servers refuse", centre: "south", sends: 2 * n, answered: n * 9 / 10, trouble: func(r *rig) {
+			for _, server := range r.site.servers {
+				server.Set(WithTrick(Shedding, 0.1))
+			}
+		}},
+		{name: "servers pause", centre: "south", sends: n, answered: n * 9 / 10, trouble: func(r *rig) {
+			for _, id := range []string{"sh-a-1", "sh-b-1", "sh-c-2"} {
+				r.site.Server(id).Set(WithPause(2 * time.Second))
+			}
+		}},
+		{name: "two stand still", centre: "south", sends: 4 * n, answered: n * 9 / 10, trouble: func(r *rig) {
+			r.site.Network.Hold("host-0", true)
+			r.site.Network.Hold("host-1", true)
+		}},
+		{name: "all end", centre: "south", sends: 5 * n, answered: n, trouble: func(r *rig) {
+			for i := range Centres {
+				r.leave(i)
+			}
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var ended tally
+			sent, runs := 0, 0
+			inRig(t, func(r *rig) {
+				for _, id := range []string{"sh-a-0", "sh-b-0", "sh-c-0"} {
+					r.site.Drain(id, false)
+				}
+				r.add("host-x", c.centre)
+				time.Sleep(2 * warmTime)
+				if c.trouble != nil {
+					c.trouble(r)
+				}
+				before := r.site.Record.Sent("host-x")
+				ended = r.load(3, searchHost, n, 20*time.Millisecond)
+				sent = r.site.Record.Sent("host-x") - before
+				runs = r.site.Record.MostRuns()
+				r.site.Network.Hold("host-0", false)
+				r.site.Network.Hold("host-1", false)
+			})
+			Convey("Its answers are true and come, it leaves the lacking shards to others, and no request runs too often", t, func() {
+				So(ended.untrue, ShouldBeEmpty)
+				So(ended.statuses[200], ShouldBeGreaterThanOrEqualTo, c.answered)
+				So(sent, ShouldBeLessThanOrEqualTo, c.sends)
+				So(runs, ShouldBeLessThanOrEqualTo, 2)
+			})
+		})
+	}
+}
--- a/stand/site/record.go
+++ b/stand/site/record.go
@@ -17,8 +17,9 @@
 	runs map[string]map[string]int
 	// parts holds every signed reply by its proof.
 	parts map[string]Part
-	// arrivals counts what reached the servers of each service.
+	// arrivals counts what reached the servers of each service, senders what each host sent to servers.
 	arrivals map[string]int
+	senders  map[string]int
 	faults   map[string]int
 	// troubles counts what keeps hosts from what the store knows; calm is the time of the end of the last one.
 	troubles int
@@ -39,6 +40,7 @@
 		runs:     make(map[string]map[string]int),
 		parts:    make(map[string]Part),
 		arrivals: make(map[string]int),
+		senders:  make(map[string]int),
 		faults:   make(map[string]int),
 	}
 }
@@ -53,10 +55,31 @@
 	r.runs[request][service]++
 }
 
-func (r *Record) arrival(service string) {
+func (r *Record) arrival(service, sender string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.arrivals[service]++
+	r.senders[sender]++
+}
+
+// Sent returns the number of messages that a host has sent to servers.
+func (r *Record) Sent(host string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.senders[host]
+}
+
+// MostRuns returns the largest number of runs of one request on the servers of one service.
+func (r *Record) MostRuns() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	most := 0
+	for _, services := range r.runs {
+		for _, n := range services {
+			most = max(most, n)
+		}
+	}
+	return most
 }
 
 // sign notes a reply and returns its proof.
--- a/stand/site/server.go
+++ b/stand/site/server.go
@@ -169,7 +169,7 @@
 // answer handles one request and reports whether the connection goes on.
 func (s *Server) answer(ctx context.Context, c net.Conn, request *fasthttp.Request) bool {
 	id := string(request.Header.Peek("X-Request-Id"))
-	s.record.arrival(s.service)
+	s.record.arrival(s.service, stand.OwnerOf(c))
 	if expected := string(request.Header.Peek("X-Expect-Instance")); expected != s.id {
 		return s.write(c, id, 421, "", nil)
 	}
