Take a bundle only if it accounts for exactly the shards that were asked for

Change: the call has a name of its own (Gather), which an older host refuses; a reply that does not account for all shards asked for counts as failed. The same would befall an upgrade host by host. Measured: go test ./core/relay: TestBundlesAreTakenWhole fails without the check (answer with 5 proofs for 4 shards), passes now.

--- a/core/relay/bundle.go
+++ b/core/relay/bundle.go
@@ -20,14 +20,14 @@
 	hopTime = 5 * time.Millisecond
 )
 
-// ErrNotRelayed reports that a message did not leave this host.
-var ErrNotRelayed = errors.New("message was not relayed")
+// ErrUnsent reports that another host has asked no server.
+var ErrUnsent = errors.New("the other host asked no server")
 
 // Peers run messages for this host.
 type Peers interface {
-	// Relay has another host ask the services for their parts and returns what it gathered.
-	// The error is ErrNotRelayed when the message did not leave this host.
-	Relay(ctx context.Context, to member.Member, m *query.Message, services []string) (Bundle, error)
+	// Gather has another host ask the services for their parts and returns what it gathered.
+	// The error is ErrUnsent when no server was asked.
+	Gather(ctx context.Context, to member.Member, m *query.Message, services []string) (Bundle, error)
 }
 
 // Bundle holds the merged parts of some shards of a set.
@@ -98,7 +98,10 @@
 		results: make(chan bundleResult, 1),
 	}
 	b.group.Go(func() error {
-		gathered, err := f.r.parts.Peers.Relay(ctx, host, f.message, services)
+		gathered, err := f.r.parts.Peers.Gather(ctx, host, f.message, services)
+		if err == nil && len(gathered.Proofs)+len(gathered.Missing) != len(services) {
+			err = errors.Errorf("%d parts in and %d missing of %d shards", len(gathered.Proofs), len(gathered.Missing), len(services))
+		}
 		b.results <- bundleResult{
 			bundle: gathered,
 			err:    err,
@@ -129,10 +132,11 @@
 	if r.err != nil {
 		f.r.helpers.failed(f.bundle.host.ID, time.Now())
 		f.r.parts.Journal.Record("relay", f.message.ID, "not answered by host "+f.bundle.host.ID, r.err.Error())
+		r.bundle = Bundle{}
 	} else {
 		f.gathered = &r.bundle
 	}
-	none := errors.Is(r.err, ErrNotRelayed)
+	none := errors.Is(r.err, ErrUnsent)
 	missing, unsent := setOf(r.bundle.Missing), setOf(r.bundle.Unsent)
 	for i := range f.shards {
 		s := &f.shards[i]
--- /dev/null
+++ b/core/relay/bundle_test.go
@@ -0,0 +1,137 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"magnoliaworks/core/lane"
+	"magnoliaworks/core/member"
+	"magnoliaworks/core/query"
+	"magnoliaworks/core/scheme"
+	"magnoliaworks/core/timer"
+	"magnoliaworks/core/trace"
+)
+
+// pair is a fleet of this host and one in another data centre, which answers as reply says.
+type pair struct {
+	alone
+	reply func(services []string) (Bundle, error)
+	asked int
+}
+
+func (p *pair) Working() []member.Member {
+	return []member.Member{{ID: "h", DataCentre: "east"}, {ID: "other", DataCentre: "west"}}
+}
+
+func (p *pair) Gather(_ context.Context, _ member.Member, _ *query.Message, services []string) (Bundle, error) {
+	p.asked++
+	return p.reply(services)
+}
+
+func proofsOf(services []string) []string {
+	var proofs []string
+	for _, s := range services {
+		proofs = append(proofs, "proof of "+s)
+	}
+	return proofs
+}
+
+// newPair returns a relay whose four shards have replicas in the other data centre only. It has no connection to any of them.
+func newPair(p *pair) *Relay {
+	journal := trace.NewJournal(hclog.NewNullLogger())
+	picker := newPicker(journal)
+	state := scheme.NewCurrent()
+	r := New(Parts{
+		State:  state,
+		Picker: picker,
+		Lanes: lane.New(lane.Parts{
+			DataCentre: "east",
+			Directory:  alone{},
+			Observer:   picker,
+			Timer:      timer.New(),
+			Journal:    journal,
+			Count:      func(string) {},
+		}),
+		Hosts:      p,
+		Peers:      p,
+		Journal:    journal,
+		Meter:      alone{},
+		Bounds:     func() Bounds { return Bounds{RetryWindow: time.Second} },
+		DataCentre: "east",
+		Self:       "h",
+	})
+	shards := []string{"a", "b", "c", "d"}
+	var services []scheme.Service
+	servers := make(map[string]scheme.Server)
+	for _, s := range shards {
+		services = append(services, scheme.Service{Name: s, Connections: 10})
+		servers["server-"+s] = scheme.Server{ID: "server-" + s, Service: s, Address: "10.0.0.1:1", DataCentre: "west", Slots: 2}
+	}
+	route := &scheme.Route{
+		Name: "search", Host: "h", Prefix: "/", Idempotent: true, Attempts: 2, Timeout: time.Second, Objective: 100 * time.Millisecond,
+		Target: scheme.Shards{Services: shards, Top: 3, MinCoverage: 0.75},
+	}
+	plan := scheme.New(1, []*scheme.Route{route}, services, scheme.Limits{})
+	state.Update(func(s *scheme.State) *scheme.State { return s.WithPlan(plan).WithServers(servers) })
+	r.Refresh()
+	return r
+}
+
+// TestBundlesAreTakenWhole lets another host answer for all shards in each way.
+func TestBundlesAreTakenWhole(t *testing.T) {
+	cases := []struct {
+		name    string
+		reply   func(services []string) (Bundle, error)
+		proofs  int
+		missing int
+		err     error
+	}{
+		{name: "all parts", proofs: 4, reply: func(s []string) (Bundle, error) { return Bundle{Proofs: proofsOf(s)}, nil }},
+		{name: "one left out", proofs: 3, missing: 1, reply: func(s []string) (Bundle, error) {
+			return Bundle{Proofs: proofsOf(s[1:]), Missing: s[:1]}, nil
+		}},
+		{name: "too few", err: query.Partial{}, reply: func(s []string) (Bundle, error) {
+			return Bundle{Proofs: proofsOf(s[2:]), Missing: s[:2]}, nil
+		}},
+		{name: "parts of more shards than were asked for", err: query.Partial{}, reply: func(s []string) (Bundle, error) {
+			return Bundle{Proofs: proofsOf(append([]string{"z"}, s...))}, nil
+		}},
+		{name: "some servers were not asked", err: query.Partial{}, reply: func(s []string) (Bundle, error) {
+			return Bundle{Proofs: proofsOf(s[2:]), Missing: s[:2], Unsent: s[:2]}, nil
+		}},
+		{name: "failed", err: query.Partial{}, reply: func([]string) (Bundle, error) { return Bundle{}, errors.New("reset") }},
+		{name: "nothing asked", err: query.NotRun{}, reply: func([]string) (Bundle, error) {
+			return Bundle{}, errors.Wrap(ErrUnsent, "refused")
+		}},
+	}
+	for i, c := range cases {
+		Convey("Its parts are in or the message is not answered with them: "+c.name, t, func() {
+			p := &pair{reply: c.reply}
+			r := newPair(p)
+			message := &query.Message{
+				ID:      fmt.Sprint(i),
+				Host:    "h",
+				Path:    "/",
+				Arrived: time.Now(),
+				Wait:    time.Second,
+			}
+			answer, err := r.Handle(alone{}, message)
+			So(p.asked, ShouldEqual, 1)
+			if c.err != nil {
+				So(err, ShouldHaveSameTypeAs, c.err)
+				return
+			}
+			So(err, ShouldBeNil)
+			gathered, ok := answer.(Gathered)
+			So(ok, ShouldBeTrue)
+			So(len(gathered.Proofs), ShouldEqual, c.proofs)
+			So(gathered.Missing, ShouldEqual, c.missing)
+		})
+	}
+}
--- a/io/peer/frame/frame.connect.go
+++ b/io/peer/frame/frame.connect.go
@@ -45,8 +45,8 @@
 	PeerAskProcedure = "/magnoliaworks.frame.Peer/Ask"
 	// PeerFeedProcedure is the fully-qualified name of the Peer's Feed RPC.
 	PeerFeedProcedure = "/magnoliaworks.frame.Peer/Feed"
-	// PeerRelayProcedure is the fully-qualified name of the Peer's Relay RPC.
-	PeerRelayProcedure = "/magnoliaworks.frame.Peer/Relay"
+	// PeerGatherProcedure is the fully-qualified name of the Peer's Gather RPC.
+	PeerGatherProcedure = "/magnoliaworks.frame.Peer/Gather"
 )
 
 // PeerClient is a client for the magnoliaworks.frame.Peer service.
@@ -63,8 +63,8 @@
 	Ask(context.Context, *connect.Request[AskRequest]) (*connect.Response[AskReply], error)
 	// Feed returns what a host has learnt of the platform's store after a place, and waits a while for news.
 	Feed(context.Context, *connect.Request[FeedRequest]) (*connect.Response[FeedReply], error)
-	// Relay asks some shards of a set for their parts, for a host that has no replicas of them near it.
-	Relay(context.Context, *connect.Request[RelayRequest]) (*connect.Response[RelayReply], error)
+	// Gather asks some shards of a set for their parts, for a host that has no replicas of them near it.
+	Gather(context.Context, *connect.Request[GatherRequest]) (*connect.Response[GatherReply], error)
 }
 
 // NewPeerClient constructs a client for the magnoliaworks.frame.Peer service. By default, it uses
@@ -114,10 +114,10 @@
 			connect.WithSchema(peerMethods.ByName("Feed")),
 			connect.WithClientOptions(opts...),
 		),
-		relay: connect.NewClient[RelayRequest, RelayReply](
+		gather: connect.NewClient[GatherRequest, GatherReply](
 			httpClient,
-			baseURL+PeerRelayProcedure,
-			connect.WithSchema(peerMethods.ByName("Relay")),
+			baseURL+PeerGatherProcedure,
+			connect.WithSchema(peerMethods.ByName("Gather")),
 			connect.WithClientOptions(opts...),
 		),
 	}
@@ -131,7 +131,7 @@
 	order    *connect.Client[OrderRequest, OrderReply]
 	ask      *connect.Client[AskRequest, AskReply]
 	feed     *connect.Client[FeedRequest, FeedReply]
-	relay    *connect.Client[RelayRequest, RelayReply]
+	gather   *connect.Client[GatherRequest, GatherReply]
 }
 
 // Exchange calls magnoliaworks.frame.Peer.Exchange.
@@ -164,9 +164,9 @@
 	return c.feed.CallUnary(ctx, req)
 }
 
-// Relay calls magnoliaworks.frame.Peer.Relay.
-func (c *peerClient) Relay(ctx context.Context, req *connect.Request[RelayRequest]) (*connect.Response[RelayReply], error) {
-	return c.relay.CallUnary(ctx, req)
+// Gather calls magnoliaworks.frame.Peer.Gather.
+func (c *peerClient) Gather(ctx context.Context, req *connect.Request[GatherRequest]) (*connect.Response[GatherReply], error) {
+	return c.gather.CallUnary(ctx, req)
 }
 
 // PeerHandler is an implementation of the magnoliaworks.frame.Peer service.
@@ -183,8 +183,8 @@
 	Ask(context.Context, *connect.Request[AskRequest]) (*connect.Response[AskReply], error)
 	// Feed returns what a host has learnt of the platform's store after a place, and waits a while for news.
 	Feed(context.Context, *connect.Request[FeedRequest]) (*connect.Response[FeedReply], error)
-	// Relay asks some shards of a set for their parts, for a host that has no replicas of them near it.
-	Relay(context.Context, *connect.Request[RelayRequest]) (*connect.Response[RelayReply], error)
+	// Gather asks some shards of a set for their parts, for a host that has no replicas of them near it.
+	Gather(context.Context, *connect.Request[GatherRequest]) (*connect.Response[GatherReply], error)
 }
 
 // NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -230,10 +230,10 @@
 		connect.WithSchema(peerMethods.ByName("Feed")),
 		connect.WithHandlerOptions(opts...),
 	)
-	peerRelayHandler := connect.NewUnaryHandler(
-		PeerRelayProcedure,
-		svc.Relay,
-		connect.WithSchema(peerMethods.ByName("Relay")),
+	peerGatherHandler := connect.NewUnaryHandler(
+		PeerGatherProcedure,
+		svc.Gather,
+		connect.WithSchema(peerMethods.ByName("Gather")),
 		connect.WithHandlerOptions(opts...),
 	)
 	return "/magnoliaworks.frame.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -250,8 +250,8 @@
 			peerAskHandler.ServeHTTP(w, r)
 		case PeerFeedProcedure:
 			peerFeedHandler.ServeHTTP(w, r)
-		case PeerRelayProcedure:
-			peerRelayHandler.ServeHTTP(w, r)
+		case PeerGatherProcedure:
+			peerGatherHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -285,6 +285,6 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("magnoliaworks.frame.Peer.Feed is not implemented"))
 }
 
-func (UnimplementedPeerHandler) Relay(context.Context, *connect.Request[RelayRequest]) (*connect.Response[RelayReply], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("magnoliaworks.frame.Peer.Relay is not implemented"))
+func (UnimplementedPeerHandler) Gather(context.Context, *connect.Request[GatherRequest]) (*connect.Response[GatherReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("magnoliaworks.frame.Peer.Gather is not implemented"))
 }
--- a/io/peer/relay.go
+++ b/io/peer/gather.go
@@ -19,10 +19,10 @@
 	Gather(ctx context.Context, m *query.Message, services []string) (relay.Bundle, error)
 }
 
-// Relay implements relay.Peers.
-func (c *Client) Relay(ctx context.Context, to member.Member, m *query.Message, services []string) (relay.Bundle, error) {
+// Gather implements relay.Peers.
+func (c *Client) Gather(ctx context.Context, to member.Member, m *query.Message, services []string) (relay.Bundle, error) {
 	spent := time.Since(m.Arrived) + m.Spent
-	reply, err := c.lasting(to.Address).Relay(ctx, newRequest(&frame.RelayRequest{
+	reply, err := c.lasting(to.Address).Gather(ctx, newRequest(&frame.GatherRequest{
 		Id:          m.ID,
 		Host:        m.Host,
 		Path:        m.Path,
@@ -31,11 +31,11 @@
 		SpentUs:     uint32(spent.Microseconds()),
 		Services:    services,
 	}))
-	if notDialled(err) {
-		return relay.Bundle{}, errors.Wrapf(relay.ErrNotRelayed, "host %s: %v", to.ID, err)
+	if notDialled(err) || connect.CodeOf(err) == connect.CodeUnimplemented {
+		return relay.Bundle{}, errors.Wrapf(relay.ErrUnsent, "host %s: %v", to.ID, err)
 	}
 	if err != nil {
-		return relay.Bundle{}, errors.Wrapf(err, "relay to host %s", to.ID)
+		return relay.Bundle{}, errors.Wrapf(err, "gather on host %s", to.ID)
 	}
 	return relay.Bundle{
 		Proofs:  reply.Msg.GetProofs(),
@@ -45,8 +45,8 @@
 	}, nil
 }
 
-// Relay implements frame.PeerHandler.
-func (s *Service) Relay(ctx context.Context, request *connect.Request[frame.RelayRequest]) (*connect.Response[frame.RelayReply], error) {
+// Gather implements frame.PeerHandler.
+func (s *Service) Gather(ctx context.Context, request *connect.Request[frame.GatherRequest]) (*connect.Response[frame.GatherReply], error) {
 	if s.gatherer == nil {
 		return nil, connect.NewError(connect.CodeUnimplemented, errors.New("the host serves no messages"))
 	}
@@ -65,7 +65,7 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	return connect.NewResponse(&frame.RelayReply{
+	return connect.NewResponse(&frame.GatherReply{
 		Proofs:  answer.Proofs,
 		Body:    answer.Body,
 		Missing: answer.Missing,
