Bound the opening of connections between hosts

Behind a partition such a dial holds a descriptor for minutes. Ruled out: the test's network, whose cut dials end with their context as intended. Change: dials between hosts end after one second.

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -27,6 +27,8 @@
 	pingTimeout = 700 * time.Millisecond
 	// patientPings is the number of pings in a row with differing views after which whole views are exchanged.
 	patientPings = 2
+	// dialTimeout bounds the opening of a connection; the transport keeps on dialling after its request has been given up.
+	dialTimeout = time.Second
 	// controlIdle is the time after which a connection that carried a ping or a pull is closed.
 	controlIdle = 10 * time.Second
 )
@@ -105,7 +107,7 @@
 	protocols.SetUnencryptedHTTP2(tls == nil)
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:     dial,
+			DialContext:     bounded(dial),
 			Protocols:       protocols,
 			TLSClientConfig: tls,
 			IdleConnTimeout: idle,
@@ -114,6 +116,15 @@
 	}
 }
 
+// bounded returns a dial that ends after the timeout.
+func bounded(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		return dial(ctx, network, address)
+	}
+}
+
 func (c *Client) peer(address string) frame.PeerClient {
 	c.mu.Lock()
 	defer c.mu.Unlock()
