Take an unknown far server for an ordinary one

Ruled out: the budget for crossing (crossShare 1). Change: where far servers are compared, an unknown one counts as an ordinary one. Measured: TestPickBetweenNearAndFar and TestPickKeepsToThePreferredFarServer fail before, pass now.

--- a/core/route/picker.go
+++ b/core/route/picker.go
@@ -118,9 +118,9 @@
 }
 
 func (p *Picker) nearOrFar(near, far Server, kind string, now time.Time) Server {
-	nearTime, farTime := p.estimate(near, kind, now), p.estimate(far, kind, now)
+	nearTime, farTime := p.estimate(near, kind, now), p.presumed(far, kind, now)
 	saved := nearTime - farTime
-	if farTime == 0 || saved < farMinimum || saved < time.Duration(farGain*float64(nearTime)) {
+	if saved < farMinimum || saved < time.Duration(farGain*float64(nearTime)) {
 		return near
 	}
 	if !p.cross.Spend() {
@@ -156,7 +156,7 @@
 			preferred = s
 		}
 	}
-	if p.estimate(preferred, c.Kind, now) > preferFactor*p.estimate(best, c.Kind, now)+farMinimum {
+	if p.presumed(preferred, c.Kind, now) > preferFactor*p.presumed(best, c.Kind, now)+farMinimum {
 		return best
 	}
 	return preferred
@@ -192,6 +192,15 @@
 	return p.score(s.ID).estimate(p.Usual(kind), s.Slots, now)
 }
 
+// presumed returns the expected time to a reply, where a server that is not known counts as an ordinary one.
+// Otherwise a slow near server would be used until another one is known, and an unknown far one in place of the preferred.
+func (p *Picker) presumed(s Server, kind string, now time.Time) time.Duration {
+	if estimate := p.estimate(s, kind, now); estimate > 0 {
+		return estimate
+	}
+	return p.Usual(kind)
+}
+
 func (p *Picker) score(id string) *score {
 	p.mu.RLock()
 	s, ok := p.scores[id]
