Log late parts, missing shards and late bundles of a request

Cause: logs of a late search told which calls were sent, but not which part held it or which shards its answer lacked.

--- a/core/relay/bundle.go
+++ b/core/relay/bundle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -135,6 +136,7 @@
 		r.bundle = Bundle{}
 	} else {
 		f.gathered = &r.bundle
+		f.lateBundle()
 	}
 	none := errors.Is(r.err, ErrUnsent)
 	missing, unsent := setOf(r.bundle.Missing), setOf(r.bundle.Unsent)
@@ -159,6 +161,18 @@
 	}
 }
 
+// lateBundle notes an answer that came late, with what it lacks.
+func (f *flight) lateBundle() {
+	if len(f.gathered.Missing) == 0 && !f.late(time.Now()) {
+		return
+	}
+	f.step(trace.Step{
+		What:   "late bundle",
+		Server: f.bundle.host.ID,
+		Detail: "missing: " + strings.Join(f.gathered.Missing, " "),
+	})
+}
+
 // endBundle ends the call to the other host. One that kept this host waiting in vain is passed over for a while.
 func (f *flight) endBundle() {
 	b := f.bundle
--- a/core/relay/take.go
+++ b/core/relay/take.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"time"
+
 	"magnoliaworks/core/query"
 	"magnoliaworks/core/scheme"
 	"magnoliaworks/core/trace"
@@ -15,7 +17,7 @@
 	switch r := a.result.(type) {
 	case query.Done:
 		s.ran++
-		f.takePart(at.shard, r.Part)
+		f.takePart(at, r.Part)
 	case query.Failed:
 		s.ran++
 		s.reason = r.Reason
@@ -44,13 +46,26 @@
 	})
 }
 
-func (f *flight) takePart(i int, part *query.Part) {
-	s := &f.shards[i]
+func (f *flight) takePart(at *attempt, part *query.Part) {
+	s := &f.shards[at.shard]
 	if s.closed {
 		return
 	}
 	s.part = part
-	f.answer(i)
+	f.answer(at.shard)
+	if f.late(time.Now()) {
+		f.step(trace.Step{
+			What:   "late part",
+			Shard:  s.service,
+			Server: at.server,
+			Detail: at.reason,
+		})
+	}
+}
+
+// late reports whether half of the objective has passed.
+func (f *flight) late(now time.Time) bool {
+	return f.route.Objective > 0 && now.After(f.message.At(f.route.Objective/2))
 }
 
 // answer closes a shard whose part is in.
@@ -154,6 +169,7 @@
 }
 
 func (f *flight) gather(target scheme.Shards) (Answer, error) {
+	f.noteMissing()
 	if f.answered > 0 && f.covered() {
 		bodies := make([][]byte, 0, f.answered)
 		proofs := make([]string, 0, f.answered)
@@ -185,6 +201,18 @@
 	}
 }
 
+// noteMissing notes the shards whose part is not in although their calls are in progress.
+func (f *flight) noteMissing() {
+	for i := range f.shards {
+		if s := &f.shards[i]; !s.in && !s.closed {
+			f.step(trace.Step{
+				What:  "missing",
+				Shard: s.service,
+			})
+		}
+	}
+}
+
 func (f *flight) mayHaveRun() bool {
 	for i := range f.shards {
 		if f.shards[i].ran > 0 || f.shards[i].pending > 0 {
