Allow a bundle the time of its way there and back

Ruled out: slow gathering hosts (they answered at their own bound). Change: replies tell how long the other host had the message; the sender allows the 0.9 quantile of the rest, at first 10 ms. Measured: TestBundlesComeInTime fails with no allowance (105 ms of 100), passes now.

--- a/core/relay/bundle.go
+++ b/core/relay/bundle.go
@@ -17,8 +17,6 @@
 const (
 	// minBundle is the least number of shards for which one message to another host saves bytes over one for each shard.
 	minBundle = 3
-	// hopTime is the time that an answer takes from a host of another data centre to this one.
-	hopTime = 5 * time.Millisecond
 )
 
 // ErrUnsent reports that another host has asked no server.
@@ -27,8 +25,8 @@
 // Peers run messages for this host.
 type Peers interface {
 	// Gather has another host ask the services for their parts and returns what it gathered.
-	// The error is ErrUnsent when no server was asked.
-	Gather(ctx context.Context, to member.Member, m *query.Message, services []string) (Bundle, error)
+	// The other host is to answer as if hop more of the caller's time had passed. The error is ErrUnsent when no server was asked.
+	Gather(ctx context.Context, to member.Member, m *query.Message, services []string, hop time.Duration) (Bundle, error)
 }
 
 // Bundle holds the merged parts of some shards of a set.
@@ -40,6 +38,8 @@
 	// Missing are the services that are left out, and Unsent those of them that no server was asked for.
 	Missing []string
 	Unsent  []string
+	// Took is the time that the other host had the message.
+	Took time.Duration
 }
 
 // bundle is what a flight has another host gather. The flight's task owns it, but for results.
@@ -99,7 +99,7 @@
 		results: make(chan bundleResult, 1),
 	}
 	b.group.Go(func() error {
-		gathered, err := f.r.parts.Peers.Gather(ctx, host, f.message, services)
+		gathered, err := f.r.parts.Peers.Gather(ctx, host, f.message, services, f.r.helpers.hop())
 		if err == nil && len(gathered.Proofs)+len(gathered.Missing) != len(services) {
 			err = errors.Errorf("%d parts in and %d missing of %d shards", len(gathered.Proofs), len(gathered.Missing), len(services))
 		}
@@ -136,6 +136,7 @@
 		r.bundle = Bundle{}
 	} else {
 		f.gathered = &r.bundle
+		f.r.helpers.travelled(time.Since(f.bundle.sent) - r.bundle.Took)
 		f.lateBundle()
 	}
 	none := errors.Is(r.err, ErrUnsent)
@@ -221,7 +222,6 @@
 	if _, ok := matched.Target.(scheme.Shards); !ok {
 		return Bundle{}, errors.Errorf("route %q names no shard set", matched.Name)
 	}
-	m.Spent += hopTime
 	f := r.newFlight(peerCaller{ctx}, m, matched, services)
 	f.bundled = true
 	f.version = plan.Version
--- a/core/relay/bundle_test.go
+++ b/core/relay/bundle_test.go
@@ -29,7 +29,7 @@
 	return []member.Member{{ID: "h", DataCentre: "east"}, {ID: "other", DataCentre: "west"}}
 }
 
-func (p *pair) Gather(_ context.Context, _ member.Member, _ *query.Message, services []string) (Bundle, error) {
+func (p *pair) Gather(_ context.Context, _ member.Member, _ *query.Message, services []string, _ time.Duration) (Bundle, error) {
 	p.asked++
 	return p.reply(services)
 }
--- a/core/relay/helpers.go
+++ b/core/relay/helpers.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"magnoliaworks/core/limit"
 	"magnoliaworks/core/member"
 )
 
@@ -12,11 +13,19 @@
 	helperChoices = 3
 	// helperPassed is the time for which a host that did not answer is passed over.
 	helperPassed = 2 * time.Second
+	// firstHop is the time that a message and its answer are taken to spend between two data centres before any was measured:
+	// both ways of the users' sites and a part for the hosts.
+	firstHop = 10 * time.Millisecond
+	// hopQuantile is the part of the measured times that the allowance for them covers.
+	hopQuantile = 0.9
+	// longestHop bounds one measured time, since a host that stood still says nothing about the way.
+	longestHop = 50 * time.Millisecond
 )
 
 // helpers chooses the hosts of other data centres that gather for this one. It is safe for concurrent use.
 type helpers struct {
 	self string
+	hops *limit.Quantile
 
 	mu sync.Mutex
 	// passed holds the time until which a host is passed over.
@@ -26,6 +35,7 @@
 func newHelpers(self string) *helpers {
 	return &helpers{
 		self:   self,
+		hops:   limit.NewQuantile(hopQuantile, firstHop),
 		passed: make(map[string]time.Time),
 	}
 }
@@ -65,3 +75,9 @@
 	}
 	h.passed[host] = now.Add(helperPassed)
 }
+
+// hop returns the time to allow for the way of a message to another data centre and of its answer back.
+func (h *helpers) hop() time.Duration { return h.hops.Value() }
+
+// travelled takes in the time that a message and its answer have spent on their way.
+func (h *helpers) travelled(took time.Duration) { h.hops.Observe(min(max(took, 0), longestHop)) }
--- a/io/peer/gather.go
+++ b/io/peer/gather.go
@@ -20,8 +20,8 @@
 }
 
 // Gather implements relay.Peers.
-func (c *Client) Gather(ctx context.Context, to member.Member, m *query.Message, services []string) (relay.Bundle, error) {
-	spent := time.Since(m.Arrived) + m.Spent
+func (c *Client) Gather(ctx context.Context, to member.Member, m *query.Message, services []string, hop time.Duration) (relay.Bundle, error) {
+	spent := time.Since(m.Arrived) + m.Spent + hop
 	reply, err := c.lasting(to.Address).Gather(ctx, newRequest(&frame.GatherRequest{
 		Id:          m.ID,
 		Host:        m.Host,
@@ -42,6 +42,7 @@
 		Body:    reply.Msg.GetBody(),
 		Missing: reply.Msg.GetMissing(),
 		Unsent:  reply.Msg.GetUnsent(),
+		Took:    time.Duration(reply.Msg.GetTookUs()) * time.Microsecond,
 	}, nil
 }
 
@@ -51,13 +52,14 @@
 		return nil, connect.NewError(connect.CodeUnimplemented, errors.New("the host serves no messages"))
 	}
 	in := request.Msg
+	arrived := time.Now()
 	spent := time.Duration(in.GetSpentUs()) * time.Microsecond
 	answer, err := s.gatherer.Gather(ctx, &query.Message{
 		ID:      in.GetId(),
 		Host:    in.GetHost(),
 		Path:    in.GetPath(),
 		Head:    in.GetHead(),
-		Arrived: time.Now(),
+		Arrived: arrived,
 		Spent:   spent,
 		Wait:    time.Duration(in.GetRemainingUs())*time.Microsecond + spent,
 		Bare:    true,
@@ -70,5 +72,6 @@
 		Body:    answer.Body,
 		Missing: answer.Missing,
 		Unsent:  answer.Unsent,
+		TookUs:  uint32(time.Since(arrived).Microseconds()),
 	}), nil
 }
--- a/stand/site/bundle_test.go
+++ b/stand/site/bundle_test.go
@@ -69,3 +69,24 @@
 		})
 	}
 }
+
+// TestBundlesComeInTime lets no server of one shard answer, so that the gathering host has to answer without it.
+func TestBundlesComeInTime(t *testing.T) {
+	const n = 60
+	var ended tally
+	inRig(t, func(r *rig) {
+		r.add("host-x", "south")
+		time.Sleep(2 * warmTime)
+		r.load(3, searchHost, n, 20*time.Millisecond)
+		for _, id := range []string{"sh-a-0", "sh-a-1", "sh-a-2"} {
+			r.site.Server(id).Set(WithPause(time.Minute))
+		}
+		ended = r.load(3, searchHost, n, 20*time.Millisecond)
+	})
+	Convey("The answers come within the objective with what is in", t, func() {
+		So(ended.untrue, ShouldBeEmpty)
+		So(ended.statuses[200], ShouldEqual, n)
+		So(ended.partial, ShouldEqual, n)
+		So(ended.slowest, ShouldBeLessThanOrEqualTo, 100*time.Millisecond)
+	})
+}
