Leave servers that fail often

Only three failures in a row counted, so a server that fails two calls in five went on getting first calls, and both attempts of a shard met such servers. Change: a server's score holds the smoothed share of its failed calls; it makes the expected time longer by what a repeat costs. Measured: TestPickAvoidsServersThatFail fails before, passes now.

--- a/core/route/picker_test.go
+++ b/core/route/picker_test.go
@@ -109,3 +109,42 @@
 		})
 	}
 }
+
+// TestPickAvoidsServersThatFail lets a near server fail some of its calls, beside a far one that is well.
+func TestPickAvoidsServersThatFail(t *testing.T) {
+	const calls = 12
+	cases := []struct {
+		name string
+		// every is the number of calls of which one fails; 0 means none.
+		every int
+		took  time.Duration
+		want  string
+	}{
+		{name: "none", took: testUsual, want: "near"},
+		{name: "one in twelve", every: 12, took: testUsual, want: "near"},
+		{name: "one in two", every: 2, took: testUsual, want: "far"},
+		{name: "one in two of a kind that takes long", every: 2, took: 3 * testUsual, want: "far"},
+	}
+	for _, c := range cases {
+		Convey("The near server is left for the far one when it fails often: "+c.name, t, func() {
+			p := NewPicker(Full, "east", limit.NewBudget(1, 20), trace.NewJournal(hclog.NewNullLogger()))
+			observe(p, "others", repeated(c.took, 200)...)
+			observe(p, "far", repeated(c.took+testUsual, 4)...)
+			for i := range calls {
+				if c.every > 0 && i%c.every == 0 {
+					p.Began("near", testKind)
+					p.Ended("near", testKind, c.took, query.Failed{})
+					continue
+				}
+				observe(p, "near", c.took)
+			}
+			s, ok := p.Pick(Candidates{
+				Kind:    testKind,
+				Servers: []Server{candidate("near", "east"), candidate("far", "west")},
+				Holds:   func(string) bool { return true },
+			})
+			So(ok, ShouldBeTrue)
+			So(s.ID, ShouldEqual, c.want)
+		})
+	}
+}
--- a/core/route/score.go
+++ b/core/route/score.go
@@ -18,6 +18,12 @@
 	lostFactor = 1.5
 	// maxFactor bounds the factor of a server.
 	maxFactor = 500
+	// errorWeight is the weight of one result in the share of failed calls.
+	errorWeight = 0.3
+	// errorFactor and errorTime are what a failed call costs beside its time, as a multiple of that and as the time to repeat it.
+	// With them two failures among a few calls make a far server worth its way, and a single one does not.
+	errorFactor = 5
+	errorTime   = 40 * time.Millisecond
 	// ejectAfter is the number of failures in a row after which a server is not chosen.
 	ejectAfter = 3
 	// ejectTime is the time before an ejected server is tried again.
@@ -41,6 +47,8 @@
 	factor      float64
 	outstanding int
 	failures    int
+	// errors is the smoothed share of calls that failed.
+	errors      float64
 	hint        query.Hint
 	hintAt      time.Time
 	lastTrial   time.Time
@@ -69,6 +77,7 @@
 	defer s.mu.Unlock()
 	s.end(now)
 	s.failures = 0
+	s.errors -= errorWeight * s.errors
 	s.hint, s.hintAt = hint, now
 	ratio := min(float64(took)/float64(max(usual, time.Microsecond)), clipFactor)
 	switch {
@@ -105,6 +114,7 @@
 	defer s.mu.Unlock()
 	s.end(now)
 	s.failures++
+	s.errors += errorWeight * (1 - s.errors)
 	if s.failures < ejectAfter {
 		return false
 	}
@@ -129,7 +139,7 @@
 func (s *score) estimate(usual time.Duration, slots int, now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.factor == 0 {
+	if s.factor == 0 && s.failures == 0 {
 		return 0
 	}
 	expected := s.scaled(usual)
@@ -141,7 +151,7 @@
 	if slots > 0 {
 		expected += time.Duration(max(ahead+1-slots, 0)) * s.scaled(usual) / time.Duration(slots)
 	}
-	return expected
+	return expected + time.Duration(s.errors*(errorFactor*float64(expected)+float64(errorTime)))
 }
 
 func (s *score) scaled(usual time.Duration) time.Duration {
