Refuse searches that can't reach their coverage at once

Ruled out: hosts without any list (they refuse). Change: a search with too few shards that have a server is refused as not run before anything is sent; callers that are refused for what a host does not know yet are told to wait a second, of which they wait what their time permits. Measured: TestSearchesWithoutServersAreRefused fails before, passes now.

--- a/core/relay/flight.go
+++ b/core/relay/flight.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"time"
 
 	"magnoliaworks/core/lane"
@@ -32,9 +33,10 @@
 	abandonGrace = 150 * time.Millisecond
 	// loserGrace is the time for which a call that lost against a hedge keeps its connection.
 	loserGrace = 400 * time.Millisecond
-	// overloadRetry and unreadyRetry are the advised waits of callers that were refused.
+	// overloadRetry is the advised wait of callers that were refused for load, unreadyRetry that of those that were refused for
+	// what the host does not know yet: it lasts for seconds, and callers wait no longer than their time permits.
 	overloadRetry = 150 * time.Millisecond
-	unreadyRetry  = 300 * time.Millisecond
+	unreadyRetry  = time.Second
 )
 
 // Reasons for calls.
@@ -137,10 +139,35 @@
 
 // fly runs the message and returns its answer.
 func (f *flight) fly() (Answer, error) {
+	if err := f.hopeless(); err != nil {
+		return nil, err
+	}
 	f.collect()
 	return f.finish()
 }
 
+// hopeless returns the refusal of a search for which too few shards have a server at all; nothing has been sent.
+func (f *flight) hopeless() error {
+	target, ok := f.route.Target.(scheme.Shards)
+	if !ok {
+		return nil
+	}
+	t := f.r.table.Load()
+	served := 0
+	for _, service := range target.Services {
+		if len(t.replicas[service]) > 0 {
+			served++
+		}
+	}
+	if float64(served) >= target.MinCoverage*float64(len(target.Services)) && served > 0 {
+		return nil
+	}
+	return query.NotRun{
+		Reason:     fmt.Sprintf("%d of %d shards have a server, the minimum share is %g", served, len(target.Services), target.MinCoverage),
+		RetryAfter: unreadyRetry,
+	}
+}
+
 // collect sends the calls and takes in results until each shard has one, the least coverage is reached late, or time is up.
 func (f *flight) collect() {
 	defer f.letGo()
--- a/stand/site/rules_test.go
+++ b/stand/site/rules_test.go
@@ -384,6 +384,36 @@
 	})
 }
 
+// TestSearchesWithoutServersAreRefused takes away all servers of two of four shards.
+func TestSearchesWithoutServersAreRefused(t *testing.T) {
+	const n = 20
+	var ended tally
+	var refused Answer
+	sent := 0
+	inRig(t, func(r *rig) {
+		for _, shard := range []string{"sh-a", "sh-b"} {
+			for i := range Centres {
+				r.site.Drain(fmt.Sprintf("%s-%d", shard, i), true)
+			}
+		}
+		time.Sleep(warmTime)
+		before := r.site.Record.Sent("host-0")
+		ended = r.load(0, searchHost, n, 10*time.Millisecond)
+		c := r.call(0)
+		defer c.Close()
+		var err error
+		refused, err = c.Do(r.ask(searchHost))
+		must(r.t, err)
+		sent = r.site.Record.Sent("host-0") - before
+	})
+	Convey("They are refused as not run, nothing is sent, and callers are told to wait", t, func() {
+		So(ended.untrue, ShouldBeEmpty)
+		So(ended.statuses[503], ShouldEqual, n)
+		So(refused.Retry, ShouldEqual, "1.000")
+		So(sent, ShouldEqual, 0)
+	})
+}
+
 // TestPausedServersDoNotHoldSearches lets one replica of each shard pause.
 func TestPausedServersDoNotHoldSearches(t *testing.T) {
 	var ended tally
