Take the length of the shutdown from the platform's grace

Cause: the template wrote a stop limit of 5 s, which holds only where the grace is 6 s, and a deployment that lacks one of the bounds would have got settings that don't parse, so that no host starts. Seen by reading; every site file so far states 6 s and all bounds.

--- a/core/setup/read.go
+++ b/core/setup/read.go
@@ -15,6 +15,7 @@
 	if err := jsonc.DecodeFile(file, &s); err != nil {
 		return Settings{}, err
 	}
+	s = s.withPlatform()
 	return s, check(file, &s)
 }
 
--- a/core/setup/read_test.go
+++ b/core/setup/read_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -75,3 +76,37 @@
 		}
 	})
 }
+
+// TestPlatformBoundsTheShutdown reads settings with and without what the platform may leave out.
+func TestPlatformBoundsTheShutdown(t *testing.T) {
+	const addresses = `"caller_address": "127.0.0.1:7004", "ready_address": "127.0.0.1:7005", "object_address": "127.0.0.1:7006"`
+	cases := []struct {
+		name   string
+		bounds string
+		stop   time.Duration
+		wait   time.Duration
+		window time.Duration
+		factor float64
+	}{
+		{name: "none", stop: 30 * time.Second, wait: 2200 * time.Millisecond, window: 10 * time.Second, factor: 1},
+		{name: "long grace", bounds: `, "grace": "6s", "retry_window": "5s", "warmup_factor": 1.5`, stop: 5 * time.Second, wait: 2200 * time.Millisecond, window: 5 * time.Second, factor: 1.5},
+		{name: "short grace", bounds: `, "grace": "3s"`, stop: 2500 * time.Millisecond, wait: 1200 * time.Millisecond, window: 10 * time.Second, factor: 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			file := filepath.Join(t.TempDir(), "host.jsonc")
+			text := strings.Replace(whole, `"id"`, `"leave_wait": "2200ms", "platform": {`+addresses+c.bounds+`}, "id"`, 1)
+			if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			s, err := Read(file)
+			Convey("The host ends within the grace, and what is left out has a default", t, func() {
+				So(err, ShouldBeNil)
+				So(s.StopLimit, ShouldEqual, c.stop)
+				So(s.LeaveWait, ShouldEqual, c.wait)
+				So(s.Platform.RetryWindow, ShouldEqual, c.window)
+				So(s.Platform.WarmupFactor, ShouldEqual, c.factor)
+			})
+		})
+	}
+}
