Withdraw waiting calls before the result is told; split the flight

Cause: since a flight's collecting is a function of its own, the calls that wait for a connection were given up before the result was built, so that a message that had not run was told as of unknown outcome: found by reading the order of the defers.

--- a/core/relay/bundle.go
+++ b/core/relay/bundle.go
@@ -14,10 +14,8 @@
 	"magnoliaworks/core/trace"
 )
 
-const (
-	// minBundle is the least number of shards for which one message to another host saves bytes over one for each shard.
-	minBundle = 3
-)
+// minBundle is the least number of shards for which one message to another host saves bytes over one for each shard.
+const minBundle = 3
 
 // ErrUnsent reports that another host has asked no server.
 var ErrUnsent = errors.New("the other host asked no server")
@@ -207,51 +205,6 @@
 	})
 }
 
-// Gather asks the services of a message's shard set for their parts, for another host.
-func (r *Relay) Gather(ctx context.Context, m *query.Message, services []string) (Bundle, error) {
-	r.inside.Add(1)
-	defer r.inside.Add(-1)
-	plan := r.table.Load().state.Plan()
-	if plan == nil {
-		return Bundle{}, errors.New("no configuration received yet")
-	}
-	matched, ok := plan.Match(m.Host, m.Path)
-	if !ok {
-		return Bundle{}, errors.Errorf("no route of host %q begins the path", m.Host)
-	}
-	if _, ok := matched.Target.(scheme.Shards); !ok {
-		return Bundle{}, errors.Errorf("route %q names no shard set", matched.Name)
-	}
-	f := r.newFlight(peerCaller{ctx}, m, matched, services)
-	f.bundled = true
-	f.version = plan.Version
-	f.collect()
-	b := f.gatherBundle(matched.Target.(scheme.Shards))
-	r.keep(f, nil)
-	return b, nil
-}
-
-// gatherBundle merges the parts that have come.
-func (f *flight) gatherBundle(target scheme.Shards) Bundle {
-	f.withdraw()
-	var b Bundle
-	var bodies [][]byte
-	for i := range f.shards {
-		s := &f.shards[i]
-		switch {
-		case s.part != nil:
-			b.Proofs = append(b.Proofs, s.part.Proof)
-			bodies = append(bodies, s.part.Body)
-			continue
-		case s.ran == 0 && s.pending == 0:
-			b.Unsent = append(b.Unsent, s.service)
-		}
-		b.Missing = append(b.Missing, s.service)
-	}
-	b.Body = merge(bodies, target.Top)
-	return b
-}
-
 func setOf(services []string) map[string]bool {
 	set := make(map[string]bool, len(services))
 	for _, s := range services {
@@ -259,11 +212,3 @@
 	}
 	return set
 }
-
-// peerCaller is a host that waits for an answer.
-type peerCaller struct {
-	ctx context.Context
-}
-
-// Gone implements Caller.
-func (c peerCaller) Gone() <-chan struct{} { return c.ctx.Done() }
--- a/core/relay/flight.go
+++ b/core/relay/flight.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"fmt"
 	"time"
 
 	"magnoliaworks/core/lane"
@@ -75,40 +74,6 @@
 	gathered *Bundle
 }
 
-// shard is one service that a part is wanted of; a message to one service has one shard.
-type shard struct {
-	service string
-	tried   []string
-	pending int
-	sends   int
-	// ran counts the servers on which the message has or may have run.
-	ran int
-	// delegated is set when another host was asked for the part.
-	delegated bool
-	closed    bool
-	hedgeAt   time.Time
-	// in is set once the part is in; part holds it unless another host gathered it.
-	in   bool
-	part *query.Part
-	// failure is the last failure that a server replied with.
-	failure *query.Part
-	reason  string
-}
-
-type attempt struct {
-	shard   int
-	server  string
-	reason  string
-	sent    time.Time
-	ended   bool
-	abandon func(grace time.Duration) (withdrawn bool)
-}
-
-type arrival struct {
-	token  int
-	result query.Result
-}
-
 func (r *Relay) newFlight(caller Caller, m *query.Message, matched *scheme.Route, services []string) *flight {
 	wait := m.Wait
 	if matched.Timeout > 0 {
@@ -142,35 +107,13 @@
 	if err := f.hopeless(); err != nil {
 		return nil, err
 	}
+	defer f.letGo()
 	f.collect()
 	return f.finish()
 }
 
-// hopeless returns the refusal of a search for which too few shards have a server at all; nothing has been sent.
-func (f *flight) hopeless() error {
-	target, ok := f.route.Target.(scheme.Shards)
-	if !ok {
-		return nil
-	}
-	t := f.r.table.Load()
-	served := 0
-	for _, service := range target.Services {
-		if len(t.replicas[service]) > 0 {
-			served++
-		}
-	}
-	if float64(served) >= target.MinCoverage*float64(len(target.Services)) && served > 0 {
-		return nil
-	}
-	return query.NotRun{
-		Reason:     fmt.Sprintf("%d of %d shards have a server, the minimum share is %g", served, len(target.Services), target.MinCoverage),
-		RetryAfter: unreadyRetry,
-	}
-}
-
 // collect sends the calls and takes in results until each shard has one, the least coverage is reached late, or time is up.
 func (f *flight) collect() {
-	defer f.letGo()
 	defer f.endBundle()
 	now := time.Now()
 	f.r.parts.Picker.Earn(len(f.shards))
@@ -211,21 +154,6 @@
 	}
 }
 
-// enough reports whether the answer is due although shards are open.
-func (f *flight) enough() bool {
-	return f.answered > 0 && f.covered() && !time.Now().Before(f.answerBy)
-}
-
-func (f *flight) covered() bool {
-	target, ok := f.route.Target.(scheme.Shards)
-	if !ok {
-		return f.answered > 0
-	}
-	// What may be missing is a part of the whole set, of which a bundle has some shards.
-	missing := len(f.shards) - f.answered
-	return float64(len(target.Services)-missing) >= target.MinCoverage*float64(len(target.Services))
-}
-
 // wake returns the time of the next thing to do.
 func (f *flight) wake() time.Time {
 	now := time.Now()
@@ -312,24 +240,6 @@
 	}
 }
 
-// giveUp closes a shard that has no call in progress.
-func (f *flight) giveUp(i int, reason string) {
-	s := &f.shards[i]
-	if s.closed || s.pending > 0 {
-		return
-	}
-	s.closed = true
-	if s.reason == "" {
-		s.reason = reason
-	}
-	f.open--
-	f.step(trace.Step{
-		What:   "gave up",
-		Shard:  s.service,
-		Detail: reason,
-	})
-}
-
 func (f *flight) step(s trace.Step) {
 	s.After = time.Since(f.message.Arrived)
 	f.steps = append(f.steps, s)
--- /dev/null
+++ b/core/relay/gather.go
@@ -0,0 +1,64 @@
+package relay
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"magnoliaworks/core/query"
+	"magnoliaworks/core/scheme"
+)
+
+// Gather asks the services of a message's shard set for their parts, for another host.
+func (r *Relay) Gather(ctx context.Context, m *query.Message, services []string) (Bundle, error) {
+	r.inside.Add(1)
+	defer r.inside.Add(-1)
+	plan := r.table.Load().state.Plan()
+	if plan == nil {
+		return Bundle{}, errors.New("no configuration received yet")
+	}
+	matched, ok := plan.Match(m.Host, m.Path)
+	if !ok {
+		return Bundle{}, errors.Errorf("no route of host %q begins the path", m.Host)
+	}
+	if _, ok := matched.Target.(scheme.Shards); !ok {
+		return Bundle{}, errors.Errorf("route %q names no shard set", matched.Name)
+	}
+	f := r.newFlight(peerCaller{ctx}, m, matched, services)
+	f.bundled = true
+	f.version = plan.Version
+	defer f.letGo()
+	f.collect()
+	b := f.gatherBundle(matched.Target.(scheme.Shards))
+	r.keep(f, nil)
+	return b, nil
+}
+
+// gatherBundle merges the parts that have come.
+func (f *flight) gatherBundle(target scheme.Shards) Bundle {
+	f.withdraw()
+	var b Bundle
+	var bodies [][]byte
+	for i := range f.shards {
+		s := &f.shards[i]
+		switch {
+		case s.part != nil:
+			b.Proofs = append(b.Proofs, s.part.Proof)
+			bodies = append(bodies, s.part.Body)
+			continue
+		case s.ran == 0 && s.pending == 0:
+			b.Unsent = append(b.Unsent, s.service)
+		}
+		b.Missing = append(b.Missing, s.service)
+	}
+	b.Body = merge(bodies, target.Top)
+	return b
+}
+
+// peerCaller is a host that waits for an answer.
+type peerCaller struct {
+	ctx context.Context
+}
+
+// Gone implements Caller.
+func (c peerCaller) Gone() <-chan struct{} { return c.ctx.Done() }
--- a/core/relay/record.go
+++ b/core/relay/record.go
@@ -18,7 +18,7 @@
 // keep counts an ended message, and logs it if it was slow, partial or refused, or one of a sample.
 func (r *Relay) keep(f *flight, err error) {
 	took := time.Since(f.message.Arrived)
-	r.parts.Meter.Message(targetWord(f.route.Target), query.Outcome(err), took)
+	r.parts.Meter.Message(f.targetWord(), query.Outcome(err), took)
 	bad := err != nil || f.answered < len(f.shards) || (f.route.Objective > 0 && took > f.route.Objective)
 	if !bad && r.ended.Add(1)%sampleEvery != 0 {
 		return
@@ -44,8 +44,11 @@
 }
 
 // targetWord returns the word for a kind of target; routes are too many to be told apart in metrics.
-func targetWord(t scheme.Target) string {
-	switch t.(type) {
+func (f *flight) targetWord() string {
+	if f.bundled {
+		return "bundle"
+	}
+	switch f.route.Target.(type) {
 	case scheme.One:
 		return "one"
 	case scheme.Split:
--- a/stand/site/rules_test.go
+++ b/stand/site/rules_test.go
@@ -384,6 +384,27 @@
 	})
 }
 
+// TestCallsWithoutAConnectionAreNotRun sends many requests that may not be repeated to servers that are all busy.
+func TestCallsWithoutAConnectionAreNotRun(t *testing.T) {
+	var ended tally
+	ran := 0
+	inRig(t, func(r *rig) {
+		for _, server := range r.site.servers {
+			server.Set(WithWork(5 * time.Second))
+		}
+		ended = r.load(0, onceHost, 150, time.Millisecond)
+		for _, a := range ended.asks {
+			ran += r.site.Record.Runs(a.ID)
+		}
+	})
+	Convey("Those that never had a connection are refused as not run, the others' outcome is not known", t, func() {
+		So(ended.untrue, ShouldBeEmpty)
+		So(ended.statuses[502], ShouldEqual, ran)
+		So(ended.statuses[503], ShouldEqual, 150-ran)
+		So(ran, ShouldBeBetween, 10, 140)
+	})
+}
+
 // TestSearchesWithoutServersAreRefused takes away all servers of two of four shards.
 func TestSearchesWithoutServersAreRefused(t *testing.T) {
 	const n = 20
