Pass over silent gathering hosts for longer each time

With 0.3 searches a second on each host nearly every one came after the 2 s for which a silent host is passed over, and views learn of 75 lost hosts only by news now. Ruled out by reading: watchers of the store (each data centre has its own). Change: the time doubles with each silence in a row, up to a minute, and ends with an answer.

--- a/core/relay/bundle.go
+++ b/core/relay/bundle.go
@@ -134,6 +134,7 @@
 		r.bundle = Bundle{}
 	} else {
 		f.gathered = &r.bundle
+		f.r.helpers.answered(f.bundle.host.ID)
 		f.r.helpers.travelled(time.Since(f.bundle.sent) - r.bundle.Took)
 		f.lateBundle()
 	}
--- a/core/relay/helpers.go
+++ b/core/relay/helpers.go
@@ -11,8 +11,10 @@
 const (
 	// helperChoices is the number of hosts among which a host looks for one to gather for it; few keep connections few.
 	helperChoices = 3
-	// helperPassed is the time for which a host that did not answer is passed over.
-	helperPassed = 2 * time.Second
+	// helperPassed is the time for which a host that did not answer is passed over; it doubles with each time in a row up to
+	// longestPassed, since it may take a large fleet half a minute to learn that all hosts of a data centre are gone.
+	helperPassed  = 2 * time.Second
+	longestPassed = time.Minute
 	// firstHop is the time that a message and its answer are taken to spend between two data centres before any was measured:
 	// both ways of the users' sites and a part for the hosts.
 	firstHop = 10 * time.Millisecond
@@ -28,15 +30,21 @@
 	hops *limit.Quantile
 
 	mu sync.Mutex
-	// passed holds the time until which a host is passed over.
-	passed map[string]time.Time
+	// passed holds the hosts that did not answer the last time.
+	passed map[string]passing
+}
+
+// passing is the time until which a host is passed over, and the length of that.
+type passing struct {
+	until time.Time
+	span  time.Duration
 }
 
 func newHelpers(self string) *helpers {
 	return &helpers{
 		self:   self,
 		hops:   limit.NewQuantile(hopQuantile, firstHop),
-		passed: make(map[string]time.Time),
+		passed: make(map[string]passing),
 	}
 }
 
@@ -57,23 +65,34 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, m := range member.Rank(candidates, "gather/"+h.self, helperChoices) {
-		if now.After(h.passed[m.ID]) {
+		if now.After(h.passed[m.ID].until) {
 			return m, true
 		}
 	}
 	return member.Member{}, false
 }
 
-// failed passes a host over for a while.
+// failed passes a host over for a while, longer each time in a row.
 func (h *helpers) failed(host string, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for id, until := range h.passed {
-		if now.After(until) {
+	for id, p := range h.passed {
+		if now.Sub(p.until) > longestPassed {
 			delete(h.passed, id)
 		}
 	}
-	h.passed[host] = now.Add(helperPassed)
+	span := min(max(2*h.passed[host].span, helperPassed), longestPassed)
+	h.passed[host] = passing{
+		until: now.Add(span),
+		span:  span,
+	}
+}
+
+// answered ends the passing over of a host.
+func (h *helpers) answered(host string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.passed, host)
 }
 
 // hop returns the time to allow for the way of a message to another data centre and of its answer back.
