Share the set-up of the relay's tests and the check of control traffic

Change: newRelay, checkControl. Measured: go test ./core/relay, go test ./stand/load -run TestCapacity pass.

--- a/core/relay/bundle_test.go
+++ b/core/relay/bundle_test.go
@@ -6,16 +6,12 @@
 	"testing"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	. "github.com/smartystreets/goconvey/convey"
 
-	"magnoliaworks/core/lane"
 	"magnoliaworks/core/member"
 	"magnoliaworks/core/query"
 	"magnoliaworks/core/scheme"
-	"magnoliaworks/core/timer"
-	"magnoliaworks/core/trace"
 )
 
 // pair is a fleet of this host and one in another data centre, which answers as reply says.
@@ -44,28 +40,7 @@
 
 // newPair returns a relay whose four shards have replicas in the other data centre only. It has no connection to any of them.
 func newPair(p *pair) *Relay {
-	journal := trace.NewJournal(hclog.NewNullLogger())
-	picker := newPicker(journal)
-	state := scheme.NewCurrent()
-	r := New(Parts{
-		State:  state,
-		Picker: picker,
-		Lanes: lane.New(lane.Parts{
-			DataCentre: "east",
-			Directory:  alone{},
-			Observer:   picker,
-			Timer:      timer.New(),
-			Journal:    journal,
-			Count:      func(string) {},
-		}),
-		Hosts:      p,
-		Peers:      p,
-		Journal:    journal,
-		Meter:      alone{},
-		Bounds:     func() Bounds { return Bounds{RetryWindow: time.Second} },
-		DataCentre: "east",
-		Self:       "h",
-	})
+	r, state := newRelay(p, p)
 	shards := []string{"a", "b", "c", "d"}
 	var services []scheme.Service
 	servers := make(map[string]scheme.Server)
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -32,12 +32,12 @@
 	return route.NewPicker(route.Full, "east", limit.NewBudget(1, 20), journal)
 }
 
-// TestHandleBeforeTheTableFollows gives a message to a relay whose state is newer than the table derived from it.
-func TestHandleBeforeTheTableFollows(t *testing.T) {
+// newRelay returns a relay of a host in the data centre east without connections, and the state that it follows.
+func newRelay(hosts Hosts, peers Peers) (*Relay, *scheme.Current) {
 	journal := trace.NewJournal(hclog.NewNullLogger())
 	picker := newPicker(journal)
 	state := scheme.NewCurrent()
-	r := New(Parts{
+	return New(Parts{
 		State:  state,
 		Picker: picker,
 		Lanes: lane.New(lane.Parts{
@@ -48,13 +48,19 @@
 			Journal:    journal,
 			Count:      func(string) {},
 		}),
-		Hosts:      alone{},
+		Hosts:      hosts,
+		Peers:      peers,
 		Journal:    journal,
 		Meter:      alone{},
 		Bounds:     func() Bounds { return Bounds{RetryWindow: time.Second} },
 		DataCentre: "east",
 		Self:       "h",
-	})
+	}), state
+}
+
+// TestHandleBeforeTheTableFollows gives a message to a relay whose state is newer than the table derived from it.
+func TestHandleBeforeTheTableFollows(t *testing.T) {
+	r, state := newRelay(alone{}, nil)
 	plan := scheme.New(1, []*scheme.Route{{Host: "h", Prefix: "/", Attempts: 1, Target: scheme.One{Service: "s"}}}, nil, scheme.Limits{})
 	state.Update(func(s *scheme.State) *scheme.State { return s.WithPlan(plan) })
 	message := &query.Message{
--- a/stand/load/capacity_test.go
+++ b/stand/load/capacity_test.go
@@ -23,12 +23,7 @@
 // Both points lie beyond the size at which a ping finds the connection of the last round still open, which is 20 hosts.
 func TestCapacityOfControl(t *testing.T) {
 	small, large := control(t, 32), control(t, 100)
-	t.Logf("%+v", small)
-	t.Logf("%+v", large)
-	slope := (large.BytesPerHost - small.BytesPerHost) / float64(large.Hosts-small.Hosts)
-	if predicted := large.BytesPerHost + slope*float64(designHosts-large.Hosts); predicted > maxControlBytes {
-		t.Errorf("control traffic at %d hosts: %.0f bytes/s for each host, bound %d", designHosts, predicted, maxControlBytes)
-	}
+	checkControl(t, small, large)
 	if large.Watches > small.Watches+0.5 {
 		t.Errorf("watches/s grow with hosts: %.1f at %d, %.1f at %d", small.Watches, small.Hosts, large.Watches, large.Hosts)
 	}
@@ -41,11 +36,17 @@
 // Both points lie beyond the size at which a ping to a host of the same data centre finds its connection open, which is 50 hosts.
 func TestCapacityUnderChurn(t *testing.T) {
 	small, large := churn(t, 80), churn(t, 160)
+	checkControl(t, small, large)
+}
+
+// checkControl extends the control traffic of a host along the slope between two sizes to the design size.
+func checkControl(t *testing.T, small, large Control) {
+	t.Helper()
 	t.Logf("%+v", small)
 	t.Logf("%+v", large)
 	slope := (large.BytesPerHost - small.BytesPerHost) / float64(large.Hosts-small.Hosts)
 	if predicted := large.BytesPerHost + slope*float64(designHosts-large.Hosts); predicted > maxControlBytes {
-		t.Errorf("control traffic at %d hosts while hosts restart: %.0f bytes/s for each host, bound %d", designHosts, predicted, maxControlBytes)
+		t.Errorf("control traffic at %d hosts: %.0f bytes/s for each host, bound %d", designHosts, predicted, maxControlBytes)
 	}
 }
 
