Compare a host's state of the store with that of other hosts

Two ways lead there, each shown by a test that failed first: the first list is a stale read (13 requests served by the old route), and a watcher whose watch returns nothing goes on to feed its data centre (50 requests). Change: pings state the newest revisions of their sender. A starting host compares with others before it publishes a configuration, for two seconds at most; a running one does so when it lacks for a second what another announced. The first state comes from other hosts, a list of the store only if none knows any. The soak restarts a host right after a change of the shard set. Measured: go test ./stand/site -run 'TestRestart|TestHostsDoNotFollow' fails on the code before (0 wanted, 13 and 50; 5 stale lists, 3 wanted), passes now.

--- a/core/watch/apply.go
+++ b/core/watch/apply.go
@@ -95,7 +95,7 @@
 	}
 }
 
-// applyConfig publishes a configuration. The current one stays if it was removed or the new one can't be decoded.
+// applyConfig stores a configuration and publishes it once the host has started. The current one stays if it was removed or the new one can't be decoded.
 func (w *Watcher) applyConfig(o Object) {
 	if o.Deleted {
 		w.journal.Record("follow", o.Name, "kept in force", "the operator's configuration was removed")
@@ -106,8 +106,27 @@
 		w.journal.Record("follow", o.Name, "ignored", err.Error())
 		return
 	}
-	w.state.Update(func(s *topo.State) *topo.State { return s.WithConfig(config) })
-	w.journal.Record("follow", "configuration", fmt.Sprintf("version %d in force", config.Version), revisionText(o))
+	w.config = config
+	if w.started {
+		w.publishConfig(revisionText(o))
+	}
+}
+
+// publishConfig puts the newest configuration into force. The caller holds mu.
+func (w *Watcher) publishConfig(cause string) {
+	w.state.Update(func(s *topo.State) *topo.State { return s.WithConfig(w.config) })
+	w.journal.Record("follow", "configuration", fmt.Sprintf("version %d in force", w.config.Version), cause)
+}
+
+// start publishes the configuration from now on. Until then the host has none and takes no requests.
+func (w *Watcher) start(cause string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.started = true
+	w.journal.Record("follow", "store", "compared with other hosts", cause)
+	if w.config != nil {
+		w.publishConfig(cause)
+	}
 }
 
 // applyServer applies a registration. One that can't be decoded removes the server; one that the server wrote before the
--- a/core/watch/feed.go
+++ b/core/watch/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -41,7 +42,9 @@
 	Full    bool
 	Objects [kindCount][]Object
 	// Revisions holds the store's revision up to which each kind is known.
-	Revisions [kindCount]uint64
+	Revisions Revisions
+	// After holds, for each kind, the revision up to which Objects lacks the values, since the receiver knows them.
+	After Revisions
 }
 
 // KindCount is the number of object kinds.
@@ -53,10 +56,15 @@
 	Watchers() (others []member.Member, self bool)
 	// Settled reports whether the view of the other hosts has settled, or this host has waited long enough for that.
 	Settled() bool
+	// Others returns the other hosts that accept new work; the caller may reorder the slice.
+	Others() []member.Member
 }
 
 // Peers is the client of other hosts' feeds.
 type Peers interface {
+	// Compare states the revisions up to which this host knows each kind, and returns the objects of another host if some
+	// are newer.
+	Compare(ctx context.Context, with member.Member, known Revisions) (Comparison, error)
 	// Feed returns the changes in a host's feed after a position. If there are none, the host waits for them for up to
 	// the given time and then returns an empty update.
 	Feed(ctx context.Context, from member.Member, after Position, wait time.Duration) (Update, error)
@@ -191,6 +199,11 @@
 			objects = append(w.cache.removals(kind, objects, update.Revisions[kind]), objects...)
 		}
 		w.cache.revisions[kind] = max(w.cache.revisions[kind], update.Revisions[kind])
-		w.applyNewer(kind, objects)
+		w.applyNewer(kind, newerThan(objects, update.After[kind]))
 	}
 }
+
+// newerThan returns the objects with a newer revision.
+func newerThan(objects []Object, revision uint64) []Object {
+	return slices.DeleteFunc(objects, func(o Object) bool { return o.Revision <= revision })
+}
--- a/core/watch/objectcache.go
+++ b/core/watch/objectcache.go
@@ -12,7 +12,9 @@
 	// sequence is the number of the last change.
 	sequence uint64
 	// revisions holds the store's revision up to which each kind is known; 0 if a list is needed.
-	revisions [kindCount]uint64
+	revisions Revisions
+	// newest holds the revision of the newest object of each kind, removals included.
+	newest Revisions
 }
 
 // entry is an object with the number and the time of the change that stored it.
@@ -39,6 +41,7 @@
 // put stores an object under the next sequence number.
 func (c *objectCache) put(kind Kind, o Object) {
 	c.sequence++
+	c.newest[kind] = max(c.newest[kind], o.Revision)
 	c.entries[kind][o.Name] = entry{
 		object:     o,
 		sequence:   c.sequence,
@@ -46,6 +49,15 @@
 	}
 }
 
+// known returns the revisions up to which each kind is known, also while a list is needed.
+func (c *objectCache) known() Revisions {
+	known := c.newest
+	for kind, revision := range c.revisions {
+		known[kind] = max(known[kind], revision)
+	}
+	return known
+}
+
 // removals returns the removal, at the given revision, of each cached object that a full list of that revision lacks.
 // Objects with a newer revision are left out.
 func (c *objectCache) removals(kind Kind, list []Object, revision uint64) []Object {
--- a/core/watch/watcher.go
+++ b/core/watch/watcher.go
@@ -31,8 +31,10 @@
 	// reregisterTime is the time after an outage of the store within which servers register again whose registrations
 	// expired during the outage.
 	reregisterTime = 2500 * time.Millisecond
-	// holdCheckPeriod is the time between two checks for held removals that are due.
+	// holdCheckPeriod is the time between two checks for held removals that are due, and for changes that are overdue.
 	holdCheckPeriod = 250 * time.Millisecond
+	// firstListDelay is the time for which a starting host waits for the state of other hosts before it lists the store.
+	firstListDelay = 300 * time.Millisecond
 )
 
 // Watcher keeps a topo.State up to date, either by watching the store or by following the feeds of those hosts of its
@@ -45,6 +47,8 @@
 	state      *topo.Current
 	timer      *timer.Service
 	journal    *trace.Journal
+	// dataCentre is the data centre of this host.
+	dataCentre string
 	// epoch is drawn at random at each start and is part of the positions in this host's feed.
 	epoch uint64
 
@@ -67,6 +71,11 @@
 	held          map[string]heldRemoval
 	registrations map[string]Registration
 	evacuated     map[string]bool
+	// config is the newest configuration. It is published once started is set, when compareAtStart has ended.
+	config  *topo.Config
+	started bool
+	// lag is set while this host lacks a change that another host has announced.
+	lag *lag
 }
 
 // heldRemoval is the removal of a server that may register again, and the time at which it takes effect otherwise.
@@ -84,6 +93,8 @@
 	State      *topo.Current
 	Timer      *timer.Service
 	Journal    *trace.Journal
+	// DataCentre is the data centre of this host.
+	DataCentre string
 }
 
 // New returns a watcher; it updates options.State only while Run is running.
@@ -96,6 +107,7 @@
 		state:         options.State,
 		timer:         options.Timer,
 		journal:       options.Journal,
+		dataCentre:    options.DataCentre,
 		epoch:         rand.Uint64(),
 		cache:         newObjectCache(),
 		changed:       make(chan struct{}),
@@ -111,6 +123,7 @@
 	for kind := range kindCount {
 		group.Go(func() error { return w.watchKind(ctx, kind) })
 	}
+	group.Go(func() error { return w.compareAtStart(ctx) })
 	group.Go(func() error { return w.followPeers(ctx) })
 	group.Go(func() error { return w.pingLoop(ctx) })
 	group.Go(func() error { return w.releaseLoop(ctx) })
@@ -118,8 +131,10 @@
 }
 
 // watchKind lists a kind while its revision is not known, and then watches it as long as this host watches the store.
-// Lists may be stale until the first revision is known: updates of other hosts or a watch bring them up to date.
+// Lists may be stale until the first revision is known: updates of other hosts or a watch bring them up to date. The first
+// list is made only if no other host has stated its objects within firstListDelay, so that a restart costs the store nothing.
 func (w *Watcher) watchKind(ctx context.Context, kind Kind) error {
+	_ = timer.Sleep(ctx, firstListDelay)
 	backoff, synced := minBackoff, false
 	for ctx.Err() == nil {
 		if w.revision(kind) > 0 {
@@ -245,7 +260,7 @@
 	w.notify()
 }
 
-// releaseLoop applies held removals when they are due, and drops expired tombstones.
+// releaseLoop applies held removals when they are due, drops expired tombstones and catches up with other hosts.
 func (w *Watcher) releaseLoop(ctx context.Context) error {
 	ticks := w.timer.Subscribe(ctx, holdCheckPeriod)
 	for {
@@ -254,6 +269,9 @@
 			return nil
 		case tick := <-ticks:
 			w.releaseDue(tick.At)
+			if l, ok := w.overdueLag(tick.At); ok {
+				_, _ = w.compare(ctx, l.host) // A failure is repeated after the next announcement.
+			}
 		}
 	}
 }
--- a/gateway.go
+++ b/gateway.go
@@ -84,7 +84,9 @@
 		State:      g.state,
 		Timer:      h.timer,
 		Journal:    h.journal,
+		DataCentre: h.settings.DataCentre,
 	})
+	h.peers.SetAnnouncer(g.watcher)
 	g.listener = entry.New(g.relay, g.state, h.timer, h.log.Named("entry"))
 	g.readiness = entry.NewReadinessListener(g, h.log.Named("ready"))
 	return g
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -59,6 +59,7 @@
 	queuePull func(member.Member)
 	// recordContact is called after each ping from another host, each reply to a ping and each message received on a link.
 	recordContact func()
+	announcer     Announcer
 
 	// differingPings is the number of consecutive pings after which the views differed. viewBudget bounds the whole views
 	// that are then sent.
@@ -91,6 +92,7 @@
 		config:         current,
 		queuePull:      func(member.Member) {},
 		recordContact:  func() {},
+		announcer:      noAnnouncer{},
 		controlClients: make(map[string]frame.PeerClient),
 
 		persistentClients: make(map[string]frame.PeerClient),
@@ -197,7 +199,7 @@
 func (c *Client) ping(ctx context.Context, address, target string) error {
 	view := c.table.View()
 	request := &frame.PingRequest{
-		Sender:     selfFrame(c.table, c.config),
+		Sender:     c.selfFrame(),
 		ViewDigest: view.Digest(),
 		News:       memberFrames(c.table.NextUpdates()),
 		Via:        target,
@@ -237,7 +239,7 @@
 // sendView sends the whole view to a host and merges the whole view that it returns.
 func (c *Client) sendView(ctx context.Context, address string) error {
 	reply, err := c.controlClient(address).Ping(ctx, newRequest(&frame.PingRequest{
-		Sender:     selfFrame(c.table, c.config),
+		Sender:     c.selfFrame(),
 		ViewDigest: c.table.View().Digest(),
 		News:       memberFrames(c.table.View().Members()),
 		Whole:      true,
@@ -256,6 +258,7 @@
 	c.recordContact()
 	sender := memberOf(reply.GetSender())
 	c.table.Merge(append(membersOf(reply.GetNews()), sender)...)
+	c.recordAnnouncement(sender, reply.GetSender())
 	if reply.GetSender().GetConfigDigest() != c.config.State().Digest() {
 		c.queuePull(sender)
 	}
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -5,18 +5,22 @@
 
 	"connectrpc.com/connect"
 
-	"magnoliaworks/core/config"
 	"magnoliaworks/core/member"
 	"magnoliaworks/core/query"
+	"magnoliaworks/core/watch"
 	"magnoliaworks/io/peer/frame"
 )
 
 func newRequest[T any](message *T) *connect.Request[T] { return connect.NewRequest(message) }
 
-// selfFrame returns this host's member record with the digest of its configuration.
-func selfFrame(table *member.Table, current *config.Current) *frame.Member {
-	self := memberFrame(table.Self())
-	self.ConfigDigest = current.State().Digest()
+// selfFrame returns this host's member record with the digest of its configuration and what it knows of the platform's
+// store.
+func (c *Client) selfFrame() *frame.Member {
+	self := memberFrame(c.table.Self())
+	self.ConfigDigest = c.config.State().Digest()
+	if newest := c.announcer.Newest(); newest != (watch.Revisions{}) {
+		self.Newest = newest[:]
+	}
 	return self
 }
 
--- a/io/peer/feed.go
+++ b/io/peer/feed.go
@@ -16,6 +16,9 @@
 type Feeder interface {
 	// Feed returns the changes after a position. If there are none, it waits for them for up to the given time.
 	Feed(ctx context.Context, after watch.Position, wait time.Duration) (watch.Update, error)
+	// Compare returns all objects that this host knows if some are newer than the revisions up to which another host
+	// knows each kind.
+	Compare(known watch.Revisions) watch.Comparison
 }
 
 // Feed implements watch.Peers.
@@ -48,15 +51,20 @@
 }
 
 func updateFrame(update watch.Update) *frame.FeedReply {
-	reply := &frame.FeedReply{
+	return &frame.FeedReply{
 		Epoch:     update.Position.Epoch,
 		Sequence:  update.Position.Sequence,
 		Whole:     update.Full,
 		Revisions: update.Revisions[:],
+		Objects:   objectFrames(update),
 	}
+}
+
+func objectFrames(update watch.Update) []*frame.FeedObject {
+	var frames []*frame.FeedObject
 	for kind, objects := range update.Objects {
 		for _, o := range objects {
-			reply.Objects = append(reply.Objects, &frame.FeedObject{
+			frames = append(frames, &frame.FeedObject{
 				Kind:     uint32(kind),
 				Name:     o.Name,
 				Revision: o.Revision,
@@ -65,24 +73,30 @@
 			})
 		}
 	}
-	return reply
+	return frames
 }
 
-func updateOf(reply *frame.FeedReply) (watch.Update, error) {
-	update := watch.Update{
+func updateOf(reply *frame.FeedReply) (update watch.Update, err error) {
+	update = watch.Update{
 		Position: watch.Position{
 			Epoch:    reply.GetEpoch(),
 			Sequence: reply.GetSequence(),
 		},
 		Full: reply.GetWhole(),
 	}
-	if n := len(reply.GetRevisions()); n != watch.KindCount {
-		return update, errors.Errorf("feed has the revisions of %d kinds, want %d", n, watch.KindCount)
+	err = addObjects(&update, reply.GetObjects(), reply.GetRevisions())
+	return update, err
+}
+
+// addObjects adds the objects and revisions of a reply to an update.
+func addObjects(update *watch.Update, objects []*frame.FeedObject, revisions []uint64) error {
+	if n := len(revisions); n != watch.KindCount {
+		return errors.Errorf("reply has the revisions of %d kinds, want %d", n, watch.KindCount)
 	}
-	copy(update.Revisions[:], reply.GetRevisions())
-	for _, o := range reply.GetObjects() {
+	copy(update.Revisions[:], revisions)
+	for _, o := range objects {
 		if int(o.GetKind()) >= watch.KindCount {
-			return update, errors.Errorf("feed has an object of the unknown kind %d", o.GetKind())
+			return errors.Errorf("reply has an object of the unknown kind %d", o.GetKind())
 		}
 		update.Objects[o.GetKind()] = append(update.Objects[o.GetKind()], watch.Object{
 			Name:     o.GetName(),
@@ -91,5 +105,5 @@
 			Deleted:  o.GetDeleted(),
 		})
 	}
-	return update, nil
+	return nil
 }
--- a/io/peer/frame/frame.connect.go
+++ b/io/peer/frame/frame.connect.go
@@ -47,6 +47,8 @@
 	PeerFeedProcedure = "/magnoliaworks.frame.Peer/Feed"
 	// PeerGatherProcedure is the fully-qualified name of the Peer's Gather RPC.
 	PeerGatherProcedure = "/magnoliaworks.frame.Peer/Gather"
+	// PeerCompareProcedure is the fully-qualified name of the Peer's Compare RPC.
+	PeerCompareProcedure = "/magnoliaworks.frame.Peer/Compare"
 )
 
 // PeerClient is a client for the magnoliaworks.frame.Peer service.
@@ -66,6 +68,8 @@
 	Feed(context.Context, *connect.Request[FeedRequest]) (*connect.Response[FeedReply], error)
 	// Gather collects and merges the replies of some shards of a set, for a host that has no replicas of them near it.
 	Gather(context.Context, *connect.Request[GatherRequest]) (*connect.Response[GatherReply], error)
+	// Compare returns the objects of the platform's store that a host knows, if it knows newer ones than the calling host.
+	Compare(context.Context, *connect.Request[CompareRequest]) (*connect.Response[CompareReply], error)
 }
 
 // NewPeerClient constructs a client for the magnoliaworks.frame.Peer service. By default, it uses
@@ -121,6 +125,12 @@
 			connect.WithSchema(peerMethods.ByName("Gather")),
 			connect.WithClientOptions(opts...),
 		),
+		compare: connect.NewClient[CompareRequest, CompareReply](
+			httpClient,
+			baseURL+PeerCompareProcedure,
+			connect.WithSchema(peerMethods.ByName("Compare")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -133,6 +143,7 @@
 	ask      *connect.Client[AskRequest, AskReply]
 	feed     *connect.Client[FeedRequest, FeedReply]
 	gather   *connect.Client[GatherRequest, GatherReply]
+	compare  *connect.Client[CompareRequest, CompareReply]
 }
 
 // Exchange calls magnoliaworks.frame.Peer.Exchange.
@@ -170,6 +181,11 @@
 	return c.gather.CallUnary(ctx, req)
 }
 
+// Compare calls magnoliaworks.frame.Peer.Compare.
+func (c *peerClient) Compare(ctx context.Context, req *connect.Request[CompareRequest]) (*connect.Response[CompareReply], error) {
+	return c.compare.CallUnary(ctx, req)
+}
+
 // PeerHandler is an implementation of the magnoliaworks.frame.Peer service.
 type PeerHandler interface {
 	// Exchange carries batches of sub-requests one way and their results the other way.
@@ -187,6 +203,8 @@
 	Feed(context.Context, *connect.Request[FeedRequest]) (*connect.Response[FeedReply], error)
 	// Gather collects and merges the replies of some shards of a set, for a host that has no replicas of them near it.
 	Gather(context.Context, *connect.Request[GatherRequest]) (*connect.Response[GatherReply], error)
+	// Compare returns the objects of the platform's store that a host knows, if it knows newer ones than the calling host.
+	Compare(context.Context, *connect.Request[CompareRequest]) (*connect.Response[CompareReply], error)
 }
 
 // NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -238,6 +256,12 @@
 		connect.WithSchema(peerMethods.ByName("Gather")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerCompareHandler := connect.NewUnaryHandler(
+		PeerCompareProcedure,
+		svc.Compare,
+		connect.WithSchema(peerMethods.ByName("Compare")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/magnoliaworks.frame.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerExchangeProcedure:
@@ -254,6 +278,8 @@
 			peerFeedHandler.ServeHTTP(w, r)
 		case PeerGatherProcedure:
 			peerGatherHandler.ServeHTTP(w, r)
+		case PeerCompareProcedure:
+			peerCompareHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -290,3 +316,7 @@
 func (UnimplementedPeerHandler) Gather(context.Context, *connect.Request[GatherRequest]) (*connect.Response[GatherReply], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("magnoliaworks.frame.Peer.Gather is not implemented"))
 }
+
+func (UnimplementedPeerHandler) Compare(context.Context, *connect.Request[CompareRequest]) (*connect.Response[CompareReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("magnoliaworks.frame.Peer.Compare is not implemented"))
+}
--- a/io/peer/service.go
+++ b/io/peer/service.go
@@ -73,6 +73,7 @@
 	sender := memberOf(message.GetSender())
 	s.client.recordContact()
 	s.client.table.Merge(append(membersOf(message.GetNews()), sender)...)
+	s.client.recordAnnouncement(sender, message.GetSender())
 	if message.GetSender().GetConfigDigest() != s.client.config.State().Digest() {
 		s.client.queuePull(sender)
 	}
@@ -83,7 +84,7 @@
 		updates = view.Members()
 	}
 	return connect.NewResponse(&frame.PingReply{
-		Sender:     selfFrame(s.client.table, s.client.config),
+		Sender:     s.client.selfFrame(),
 		ViewDigest: view.Digest(),
 		News:       memberFrames(updates),
 		Reached:    reached,
--- a/membership.go
+++ b/membership.go
@@ -1,6 +1,7 @@
 package magnoliaworks
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -62,6 +63,12 @@
 // Available implements relay.Membership.
 func (ms *membership) Available() []member.Member { return ms.table.View().Available() }
 
+// Others implements watch.Membership.
+func (ms *membership) Others() []member.Member {
+	self := ms.table.Self().ID
+	return slices.DeleteFunc(ms.table.View().Available(), func(m member.Member) bool { return m.ID == self })
+}
+
 // Watchers implements watch.Membership.
 func (ms *membership) Watchers() (others []member.Member, self bool) {
 	me := ms.table.Self()
--- a/stand/site/objecthandler.go
+++ b/stand/site/objecthandler.go
@@ -83,8 +83,9 @@
 	after := string(c.QueryArgs().Peek("after"))
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	objects, revision := o.listed(kind, c.QueryArgs().Has("stale_ok"))
 	var names []string
-	for name := range o.kinds[kind] {
+	for name := range objects {
 		if name > after {
 			names = append(names, name)
 		}
@@ -93,12 +94,12 @@
 	page := names[:min(pageSize, len(names))]
 	items := make([]object, 0, len(page))
 	for _, name := range page {
-		items = append(items, o.kinds[kind][name])
+		items = append(items, objects[name])
 	}
 	reply(c, listReply{
 		Items:   items,
 		HasMore: len(page) < len(names),
-		AsOf:    o.revision,
+		AsOf:    revision,
 	})
 }
 
@@ -121,6 +122,7 @@
 		case compacted:
 			c.SetStatusCode(fasthttp.StatusGone)
 			return
+		case o.stalls(stand.OwnerOf(c.Conn())) && time.Now().Before(deadline):
 		case len(events) > 0 || !time.Now().Before(deadline):
 			reply(c, watchReply{
 				Events: events,
--- a/stand/site/objectstore.go
+++ b/stand/site/objectstore.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -41,10 +42,16 @@
 	oldest uint64
 	state  StoreState
 	calls  map[string]int
-	// watchers holds the hosts that have watched the store, refused those that get 503.
+	// watchers holds the hosts that have watched the store, refused those that get 503, and stalled those whose watches
+	// return nothing.
 	watchers map[string]bool
 	refused  map[string]bool
-	http     *fasthttp.Server
+	stalled  map[string]bool
+	// stale holds, for each kind, the objects that stale lists return, as they were at staleRevision; nil if such lists
+	// are up to date.
+	stale         map[string]map[string]object
+	staleRevision uint64
+	http          *fasthttp.Server
 }
 
 // meta identifies a version of an object, in the platform's format.
@@ -73,6 +80,7 @@
 		calls:    make(map[string]int),
 		watchers: make(map[string]bool),
 		refused:  make(map[string]bool),
+		stalled:  make(map[string]bool),
 		revision: 1,
 	}
 	o.http = &fasthttp.Server{
@@ -191,3 +199,35 @@
 	defer o.mu.Unlock()
 	return o.refused[id]
 }
+
+// Stall makes the watches of a host return nothing, while its lists are answered.
+func (o *ObjectStore) Stall(id string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.stalled[id] = true
+}
+
+func (o *ObjectStore) stalls(id string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.stalled[id]
+}
+
+// FreezeStaleLists makes stale lists return the objects as they are now, whatever changes later.
+func (o *ObjectStore) FreezeStaleLists() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.stale = make(map[string]map[string]object, len(o.kinds))
+	for kind, objects := range o.kinds {
+		o.stale[kind] = maps.Clone(objects)
+	}
+	o.staleRevision = o.revision
+}
+
+// listed returns the objects of a kind, and the revision, that a list returns. The caller holds mu.
+func (o *ObjectStore) listed(kind string, stale bool) (map[string]object, uint64) {
+	if stale && o.stale != nil {
+		return o.stale[kind], o.staleRevision
+	}
+	return o.kinds[kind], o.revision
+}
--- a/stand/soak/fault.go
+++ b/stand/soak/fault.go
@@ -48,6 +48,7 @@
 		{name: "evacuate", planned: true, run: evacuateDataCentre},
 		{name: "configuration", planned: true, run: changeTimeout},
 		{name: "repartition", planned: true, run: changeShardSet},
+		{name: "repartition_and_term", planned: true, run: changeShardSetAndRestart},
 	}
 }
 
@@ -147,3 +148,11 @@
 	s.site.ChangeConfig(func(c *site.Config) { c.Routes[0].Shards = next })
 	return nil
 }
+
+// changeShardSetAndRestart changes the shard set and restarts a host at once, which must not serve by the set before.
+func changeShardSetAndRestart(ctx context.Context, s *soak, r *rand.Rand) error {
+	if err := changeShardSet(ctx, s, r); err != nil {
+		return err
+	}
+	return s.randomHost(r).restart(syscall.SIGTERM)
+}
