Give each call and connection of core/pool one owner

Besides: a rejection cut an ejection from 2 s to 200 ms, and a full queue counted as unavailable, so that its retry cost no budget. Change: who takes a call off its queue or connection under the lock ends it, once; the task that reads from a connection closes it when the host stops; a replaced pool is closed; an ejection is never shortened.

--- a/core/pool/call.go
+++ b/core/pool/call.go
@@ -19,20 +19,14 @@
 	// which may be that of Submit.
 	OnResult func(query.Result)
 
+	// The fields below are guarded by mu of the serverPool.
 	queuedAt time.Time
 	sentAt   time.Time
 	// assigned is the connection that the call is assigned to; nil while the call is queued.
 	assigned *pooledConn
 	// withdrawn is set when the call was cancelled before it was sent.
 	withdrawn bool
-	finished  bool
-}
-
-// finish calls OnResult unless the call has finished already.
-func (c *Call) finish(result query.Result) {
-	if c.finished {
-		return
-	}
-	c.finished = true
-	c.OnResult(result)
+	// ended is set when the call leaves the queue or its connection for good. Whoever sets it delivers the result, unless
+	// the call was withdrawn.
+	ended bool
 }
--- a/core/pool/dial.go
+++ b/core/pool/dial.go
@@ -37,7 +37,8 @@
 	return true
 }
 
-// connect opens one connection and reads from it until it is closed.
+// connect opens one connection and reads from it until it is closed. It closes the connection when ctx ends, also that of a
+// serverPool which the pool holds no longer.
 func (sp *serverPool) connect(ctx context.Context) error {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	conn, err := sp.parent.dialer.Dial(dialCtx, sp.server.Address)
@@ -46,6 +47,7 @@
 		sp.dialFailed(err)
 		return nil
 	}
+	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
 	sp.parent.countEvent("opened")
 	pc := &pooledConn{
 		owner:    sp,
@@ -82,7 +84,7 @@
 	sp.down = true
 	var flushed []*Call
 	if len(sp.conns) == 0 {
-		flushed, sp.queue = sp.queue, nil
+		flushed = sp.flush()
 	}
 	sp.mu.Unlock()
 	if firstFailure {
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -115,7 +115,7 @@
 func (p *Pool) Submit(server route.Server, call *Call) (cancel func(grace time.Duration) (withdrawn bool)) {
 	sp := p.serverPool(server)
 	if sp == nil {
-		call.finish(query.NotExecuted{
+		call.OnResult(query.NotExecuted{
 			Reason: "host stopped",
 		})
 		return func(time.Duration) bool { return true }
@@ -169,27 +169,41 @@
 }
 
 // serverPool returns the pool of a server with an updated maxConns, and creates it if there is none for the server's
-// address. It returns nil while Run is not running.
+// address. It closes the pool of another address. It returns nil while Run is not running.
 func (p *Pool) serverPool(s route.Server) *serverPool {
+	sp, replaced := p.findOrCreate(s)
+	if replaced != nil {
+		replaced.close()
+	}
+	if sp == nil {
+		return nil
+	}
 	maxConns := p.maxConns(s)
+	sp.mu.Lock()
+	defer sp.mu.Unlock()
+	sp.maxConns = maxConns
+	return sp
+}
+
+// findOrCreate returns the pool for the address of a server, and the pool of another address that it replaces, if any.
+// It returns nil while Run is not running.
+func (p *Pool) findOrCreate(s route.Server) (sp, replaced *serverPool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.tasks == nil || p.ctx.Err() != nil {
-		return nil
+		return nil, nil
 	}
-	sp, ok := p.pools[s.ID]
-	if !ok || sp.server.Address != s.Address {
-		sp = &serverPool{
-			parent: p,
-			server: s,
-			conns:  make(map[*pooledConn]bool),
-		}
-		p.pools[s.ID] = sp
+	known := p.pools[s.ID]
+	if known != nil && known.server.Address == s.Address {
+		return known, nil
 	}
-	sp.mu.Lock()
-	sp.maxConns = maxConns
-	sp.mu.Unlock()
-	return sp
+	sp = &serverPool{
+		parent: p,
+		server: s,
+		conns:  make(map[*pooledConn]bool),
+	}
+	p.pools[s.ID] = sp
+	return sp, known
 }
 
 // startTask runs a task of a serverPool in a goroutine that Run waits for; it reports false after stopStarting.
@@ -211,13 +225,13 @@
 	p.stopped = true
 }
 
-// closeAll aborts and drops all serverPools.
+// closeAll closes and drops all serverPools. Connections in use are closed by the tasks that read from them.
 func (p *Pool) closeAll() {
 	p.mu.Lock()
 	pools := p.pools
 	p.pools = make(map[string]*serverPool)
 	p.mu.Unlock()
 	for _, sp := range pools {
-		sp.abort()
+		sp.close()
 	}
 }
--- a/core/pool/pooledconn.go
+++ b/core/pool/pooledconn.go
@@ -32,6 +32,8 @@
 	repliedEarly bool
 	// closing is set when the connection gets no further calls.
 	closing bool
+	// surplus is set when the pool closes the connection because it is idle, which says nothing about the server.
+	surplus bool
 	// replied is set once a reply has arrived; lastUsed is the time of the last reply, or of the dial before that.
 	replied  bool
 	lastUsed time.Time
--- a/core/pool/reply.go
+++ b/core/pool/reply.go
@@ -21,11 +21,15 @@
 }
 
 // handleReply delivers a reply and reports whether the connection stays open. While the message of the call is still
-// being written, the connection gets no other call; handleSent makes it available afterwards.
+// being written, the connection gets no other call; handleSent makes it available afterwards. If the write has failed
+// meanwhile, the call has ended and the reply is dropped.
 func (sp *serverPool) handleReply(pc *pooledConn, reply Reply) bool {
 	sp.mu.Lock()
-	call := pc.call
-	pc.call = nil
+	call := sp.detach(pc)
+	if call == nil {
+		sp.mu.Unlock()
+		return false
+	}
 	pc.closing = pc.closing || reply.Close || sp.closed
 	reusable := !pc.closing
 	pc.repliedEarly = pc.sending && reusable
@@ -56,8 +60,7 @@
 // endCall ends the call in progress, if any, with a result; the connection gets no further calls.
 func (sp *serverPool) endCall(pc *pooledConn, result query.Result) {
 	sp.mu.Lock()
-	call := pc.call
-	pc.call = nil
+	call := sp.detach(pc)
 	pc.closing = true
 	sp.mu.Unlock()
 	if call != nil {
@@ -65,14 +68,14 @@
 	}
 }
 
-// remove closes a connection and drops it from the pool. One that ended without any reply delays the next dial
-// like a failed dial. If more calls are queued than connections are being dialled, it dials another one.
+// remove closes a connection and drops it from the pool. One that ended without any reply, other than by closeStale,
+// delays the next dial like a failed dial. If more calls are queued than connections are being dialled, it dials another one.
 func (sp *serverPool) remove(pc *pooledConn) {
 	_ = pc.conn.Close()
 	sp.mu.Lock()
 	defer sp.mu.Unlock()
 	delete(sp.conns, pc)
-	if !pc.replied {
+	if !pc.replied && !pc.surplus {
 		sp.parent.countEvent("reset_unused")
 		sp.backOff(time.Now())
 	}
@@ -87,23 +90,23 @@
 	}
 }
 
-// deliver passes the result to the observer and to the call, with the time since sending, or since queueing if it
-// was not sent.
+// deliver passes the result of a call that has ended to the observer and to the call, with the time since sending, or since
+// queueing if it was not sent.
 func (sp *serverPool) deliver(call *Call, result query.Result) {
 	since := call.sentAt
 	if since.IsZero() {
 		since = call.queuedAt
 	}
 	sp.parent.observer.Finished(call.Server, call.Kind, time.Since(since), result)
-	call.finish(result)
+	call.OnResult(result)
 }
 
 // close closes the idle connections. Calls in progress continue, queued ones end as not executed.
 func (sp *serverPool) close() {
 	sp.mu.Lock()
 	sp.closed = true
-	idle, flushed := sp.idle, sp.queue
-	sp.idle, sp.queue = nil, nil
+	idle, flushed := sp.idle, sp.flush()
+	sp.idle = nil
 	sp.mu.Unlock()
 	for _, pc := range idle {
 		_ = pc.conn.Close()
@@ -114,13 +117,3 @@
 		})
 	}
 }
-
-// abort closes all connections; calls in progress fail as after a lost connection.
-func (sp *serverPool) abort() {
-	sp.close()
-	sp.mu.Lock()
-	defer sp.mu.Unlock()
-	for pc := range sp.conns {
-		_ = pc.conn.Close()
-	}
-}
--- a/core/pool/serverpool.go
+++ b/core/pool/serverpool.go
@@ -51,9 +51,9 @@
 // Submit sends a call on an idle connection, or queues it until a connection is available.
 func (sp *serverPool) Submit(call *Call) {
 	now := time.Now()
-	call.queuedAt = now
 	sp.parent.observer.Started(call.Server, call.Kind)
 	sp.mu.Lock()
+	call.queuedAt = now
 	pc := sp.takeIdle(now)
 	if pc != nil {
 		sp.assign(pc, call, now)
@@ -61,31 +61,58 @@
 		sp.write(pc, call)
 		return
 	}
-	reason := sp.enqueue(call, now)
+	refusal, queued := sp.enqueue(call, now)
+	call.ended = !queued
 	sp.mu.Unlock()
-	if reason != "" {
-		sp.deliver(call, query.NotExecuted{
-			Reason: reason,
-		})
+	if !queued {
+		sp.deliver(call, refusal)
 	}
 }
 
 // enqueue appends the call to the queue and dials if fewer dials are under way than calls are queued. It returns the
-// reason if the call can't be queued, otherwise "". The caller holds mu.
-func (sp *serverPool) enqueue(call *Call, now time.Time) string {
+// refusal and false if the call can't be queued. The caller holds mu.
+func (sp *serverPool) enqueue(call *Call, now time.Time) (refusal query.NotExecuted, queued bool) {
 	switch {
 	case sp.closed:
-		return "connections to the server are closed"
+		return query.NotExecuted{
+			Reason: "connections to the server are closed",
+		}, false
 	case sp.down && len(sp.conns) == 0 && now.Before(sp.nextDial):
-		return "server down"
+		return query.NotExecuted{
+			Reason: "server down",
+		}, false
 	case len(sp.queue) >= maxQueuedCalls:
-		return "too many calls wait for a connection"
+		return query.NotExecuted{
+			Cause:  query.Busy,
+			Reason: "too many calls wait for a connection",
+		}, false
 	}
 	sp.queue = append(sp.queue, call)
 	if sp.dialing < len(sp.queue) {
 		sp.dial(now)
 	}
-	return ""
+	return query.NotExecuted{}, true
+}
+
+// detach takes the call off its connection, on which no call is in progress then, and returns it; nil if there was none.
+// The caller holds mu and delivers the result.
+func (sp *serverPool) detach(pc *pooledConn) *Call {
+	call := pc.call
+	pc.call = nil
+	if call != nil {
+		call.ended = true
+	}
+	return call
+}
+
+// flush empties the queue and returns its calls. The caller holds mu and delivers their results.
+func (sp *serverPool) flush() []*Call {
+	flushed := sp.queue
+	sp.queue = nil
+	for _, call := range flushed {
+		call.ended = true
+	}
+	return flushed
 }
 
 // Cancel cancels a call. A queued call is withdrawn; a call in progress may still be answered within the grace period,
@@ -93,18 +120,18 @@
 func (sp *serverPool) Cancel(call *Call, grace time.Duration) (withdrawn bool) {
 	sp.mu.Lock()
 	defer sp.mu.Unlock()
-	if call.finished || call.withdrawn {
+	if call.ended {
 		return call.withdrawn
 	}
 	for i, c := range sp.queue {
 		if c == call {
 			sp.queue = append(sp.queue[:i], sp.queue[i+1:]...)
-			call.withdrawn = true
+			call.ended, call.withdrawn = true, true
 			sp.parent.observer.Cancelled(call.Server, call.Kind, time.Since(call.queuedAt), false)
 			return true
 		}
 	}
-	if call.assigned != nil && call.assigned.call == call {
+	if call.assigned != nil {
 		if err := call.assigned.conn.SetReadDeadline(time.Now().Add(grace)); err != nil {
 			sp.parent.countEvent("expire_failed")
 		}
@@ -132,6 +159,7 @@
 		stale := !pc.staleAt.IsZero() && now.After(pc.staleAt)
 		surplus := len(sp.conns)-i+len(kept) > n && now.Sub(pc.lastUsed) > surplusIdleTimeout
 		if stale || surplus {
+			pc.surplus = true
 			_ = pc.conn.Close()
 			continue
 		}
--- a/core/route/picker_test.go
+++ b/core/route/picker_test.go
@@ -151,3 +151,18 @@
 		})
 	}
 }
+
+// TestRejectionDoesNotShortenEjection lets a server that was ejected after failures refuse a call that was on its way.
+func TestRejectionDoesNotShortenEjection(t *testing.T) {
+	Convey("The server stays ejected", t, func() {
+		now := time.Now()
+		s := &serverStats{}
+		for range ejectionThreshold {
+			s.started(time.Millisecond, now)
+			s.failed(now)
+		}
+		s.started(time.Millisecond, now)
+		s.notExecuted(query.Feedback{}, avoidTime, now)
+		So(s.avoided(now.Add(ejectionTime-time.Millisecond)), ShouldBeTrue)
+	})
+}
--- a/core/route/serverstats.go
+++ b/core/route/serverstats.go
@@ -100,13 +100,16 @@
 	s.latencyFactor = min(hedgeLostFactor*max(ratio, s.latencyFactor), maxLatencyFactor)
 }
 
-// notExecuted records a call that was not executed; the server is avoided for the given time.
+// notExecuted records a call that was not executed; the server is avoided for the given time, and not for less than an
+// ejection that has begun.
 func (s *serverStats) notExecuted(feedback query.Feedback, avoid time.Duration, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.finished(now)
 	s.feedback, s.feedbackAt = feedback, now
-	s.avoidUntil = now.Add(avoid)
+	if until := now.Add(avoid); until.After(s.avoidUntil) {
+		s.avoidUntil = until
+	}
 }
 
 // failed records a failed call and reports whether it ejects the server; ejected is false while the server is avoided
