Let substitutes watch the store when watchers lose it

At a start every host listed it. Two hosts of a data centre are substitutes, which watch the store at once when no watcher feeds them; the others wait three seconds and ask the substitutes. Full updates leave out what the receiver knows. Starting hosts state what they know first and fetch objects only where a list lacks some; while nobody knows any they list at once. Hosts that gather for another follow its route. A feed is full after removals that are no longer kept.

--- a/core/gather/completion.go
+++ b/core/gather/completion.go
@@ -6,9 +6,13 @@
 	"magnoliaworks/core/query"
 )
 
-// handleCompletion processes the result of one sub-request.
+// handleCompletion processes the result of one sub-request. That of a cancelled one, which was queued before the
+// cancellation, is dropped: the cancellation has counted it off.
 func (e *execution) handleCompletion(completion Completion) {
 	a := &e.attempts[completion.Token]
+	if a.ended {
+		return
+	}
 	a.ended = true
 	s := &e.shards[a.shard]
 	s.pending--
--- a/core/gather/nonidempotent.go
+++ b/core/gather/nonidempotent.go
@@ -36,12 +36,13 @@
 	for failures := 0; ; failures++ {
 		writer, ok := g.writer(req, failures)
 		if !ok || writer.ID == g.options.Self.ID {
-			return g.RunOnce(ctx, req, kind)
+			answer, err := g.RunOnce(ctx, req, kind)
+			return answer, afterForward(err, mayHaveRun)
 		}
 		answer, err := g.options.Forwarder.Forward(ctx, writer, req)
 		var refusal query.Refusal
 		if err == nil || errors.As(err, &refusal) {
-			return answer, err
+			return answer, afterForward(err, mayHaveRun)
 		}
 		mayHaveRun = mayHaveRun || !errors.Is(err, ErrNotForwarded)
 		if timer.Sleep(ctx, forwardRetryDelay) == nil {
@@ -59,6 +60,18 @@
 	}
 }
 
+// afterForward returns the outcome that a host states, or query.OutcomeUnknown if the host has not run the request but an
+// earlier one may have.
+func afterForward(err error, mayHaveRun bool) error {
+	var notRun query.NotRun
+	if !mayHaveRun || !errors.As(err, &notRun) {
+		return err
+	}
+	return query.OutcomeUnknown{
+		Reason: "the first host that got the request did not answer, the next one has not run it (" + notRun.Reason + "); retry with the same key",
+	}
+}
+
 // writer returns the usual writer of the request's ledger partition, or after failures the next host in its ranking.
 func (g *Gatherer) writer(req query.Request, failures int) (member.Member, bool) {
 	key := ledger.PartitionKey(ledger.PartitionOf(ledger.EntryID(req.Caller, req.IdempotencyKey)))
@@ -190,6 +203,7 @@
 		}
 		completion, ok := e.awaitCompletion()
 		if !ok {
+			e.cancelAttempt(len(e.attempts)-1, false)
 			return query.Failed{
 				Reason: "the home host of the backend server did not answer",
 			}, ""
--- a/core/relay/coverage.go
+++ b/core/relay/coverage.go
@@ -43,5 +43,5 @@
 	}
 	// MinCoverage refers to the whole set, also when this host gathers only some of its shards for another host.
 	missing := len(e.shards) - e.answered
-	return float64(len(target.Services)-missing) >= target.MinCoverage*float64(len(target.Services))
+	return float64(e.setSize-missing) >= target.MinCoverage*float64(e.setSize)
 }
--- a/core/relay/delegation.go
+++ b/core/relay/delegation.go
@@ -23,9 +23,9 @@
 
 // Peers are the hosts that gather replies for this host.
 type Peers interface {
-	// Gather has the host call the services and returns the merged replies. The time left to the host is reduced by roundTrip,
-	// so that its reply arrives in time. The error is ErrNotExecuted when no backend server was called.
-	Gather(ctx context.Context, to member.Member, m *query.Message, services []string, roundTrip time.Duration) (GatherResult, error)
+	// Gather has the host call the services of a task and returns the merged replies. The time left to the host is reduced by
+	// roundTrip, so that its reply arrives in time. The error is ErrNotExecuted when no backend server was called.
+	Gather(ctx context.Context, to member.Member, m *query.Message, task GatherTask, roundTrip time.Duration) (GatherResult, error)
 }
 
 // GatherResult holds the merged replies of some shards of a set.
@@ -79,11 +79,11 @@
 	if !ok {
 		return
 	}
-	e.sendDelegation(host, remote, now)
+	e.sendDelegation(host, newGatherTask(e.route, target, remote), remote, now)
 }
 
 // sendDelegation sends the delegation and marks its shards as pending.
-func (e *execution) sendDelegation(host member.Member, services []string, now time.Time) {
+func (e *execution) sendDelegation(host member.Member, task GatherTask, services []string, now time.Time) {
 	wanted := setOf(services)
 	for i := range e.shards {
 		s := &e.shards[i]
@@ -101,7 +101,7 @@
 		results: make(chan delegationResult, 1),
 	}
 	d.group.Go(func() error {
-		gathered, err := e.relay.options.Peers.Gather(ctx, host, e.message, services, e.relay.delegates.roundTrip())
+		gathered, err := e.relay.options.Peers.Gather(ctx, host, e.message, task, e.relay.delegates.roundTrip())
 		if err == nil && len(gathered.Signatures)+len(gathered.Missing) != len(services) {
 			err = errors.Errorf("%d replies and %d missing of %d services", len(gathered.Signatures), len(gathered.Missing), len(services))
 		}
--- a/core/relay/delegation_test.go
+++ b/core/relay/delegation_test.go
@@ -25,9 +25,9 @@
 	return []member.Member{{ID: "h", DataCentre: "east"}, {ID: "other", DataCentre: "west"}}
 }
 
-func (p *peerFleet) Gather(_ context.Context, _ member.Member, _ *query.Message, services []string, _ time.Duration) (GatherResult, error) {
+func (p *peerFleet) Gather(_ context.Context, _ member.Member, _ *query.Message, task GatherTask, _ time.Duration) (GatherResult, error) {
 	p.gatherCalls++
-	return p.reply(services)
+	return p.reply(task.Route.Target.(topo.ShardSet).Services)
 }
 
 func signaturesOf(services []string) []string {
@@ -114,3 +114,24 @@
 		})
 	}
 }
+
+// TestGatherFollowsTheRouteOfTheSender gathers for a host whose configuration has a route that this host's lacks, as while a
+// change of routes spreads.
+func TestGatherFollowsTheRouteOfTheSender(t *testing.T) {
+	Convey("The services of the sender's set are called, and no other route is matched", t, func() {
+		r := newPeerRelay(&peerFleet{})
+		set := topo.ShardSet{Services: []string{"b", "c", "x"}, TopK: 2, MinCoverage: 0.5}
+		task := newGatherTask(&topo.Route{Name: "new", Idempotent: true, MaxAttempts: 2, Target: set}, set, []string{"b", "c"})
+		So(task.SetSize, ShouldEqual, 3)
+		result, err := r.Gather(context.Background(), &query.Message{
+			ID:      "r",
+			Host:    "another host",
+			Path:    "/",
+			Arrived: time.Now(),
+			Timeout: time.Second,
+		}, task)
+		So(err, ShouldBeNil)
+		So(result.Missing, ShouldResemble, []string{"b", "c"})
+		So(result.NotExecuted, ShouldResemble, []string{"b", "c"})
+	})
+}
--- a/core/relay/execution.go
+++ b/core/relay/execution.go
@@ -76,8 +76,9 @@
 	steps   []trace.Step
 	// configVersion is the version of the configuration that the route belongs to.
 	configVersion uint64
-	// forPeer is set when this host gathers some shards of a set for another host.
+	// forPeer is set when this host gathers some shards of a set for another host; setSize is the size of the whole set.
 	forPeer bool
+	setSize int
 	// delegation is what another host gathers for this execution; peerResult is what that host returned.
 	delegation *delegation
 	peerResult *GatherResult
@@ -100,6 +101,7 @@
 		attempts:    make([]attempt, 0, len(services)+len(services)/2+2),
 		completions: make(chan completion, len(services)*maxCallsPerShard),
 		unresolved:  len(services),
+		setSize:     len(services),
 	}
 	e.partialAfter = e.deadline
 	_, m.OmitHeader = matched.Target.(topo.ShardSet)
--- a/core/route/observe.go
+++ b/core/route/observe.go
@@ -42,6 +42,9 @@
 	p.statsOf(server).cancelled()
 }
 
+// Outstanding returns the number of calls in progress on a server, queued ones included.
+func (p *Picker) Outstanding(server string) int { return p.statsOf(server).outstandingCalls() }
+
 // HedgeLost records that another server replied after the given time, before this one; the call to this server may be
 // the original or the hedge.
 func (p *Picker) HedgeLost(server, kind string, took time.Duration) {
--- a/core/route/serverstats.go
+++ b/core/route/serverstats.go
@@ -128,6 +128,12 @@
 	return ejected
 }
 
+func (s *serverStats) outstandingCalls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.outstanding
+}
+
 // cancelled records a call that was cancelled before its result.
 func (s *serverStats) cancelled() {
 	s.mu.Lock()
--- a/core/server/connection.go
+++ b/core/server/connection.go
@@ -21,10 +21,10 @@
 	cancelGrace = 50 * time.Millisecond
 )
 
-// runConnection keeps a connection to the server open and serves jobs on it until ctx ends.
+// runConnection keeps a connection to the server open and serves jobs on it until the server is closed or ctx ends.
 func (s *Server) runConnection(ctx context.Context) error {
 	delay := minRedialDelay
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !s.isClosed() {
 		conn, err := s.dialer.Dial(ctx, s.spec.Address)
 		if ctx.Err() != nil {
 			closeConn(conn)
@@ -61,6 +61,12 @@
 	}
 }
 
+func (s *Server) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
 // addIdle registers a connection as idle, so that it receives the next job; it reports false when the server is closed.
 func (s *Server) addIdle(inbox chan *Job) bool {
 	s.mu.Lock()
--- a/core/server/group.go
+++ b/core/server/group.go
@@ -91,11 +91,14 @@
 	return g.ensure(spec), ""
 }
 
-// ensure returns the server with the given description, and starts it if it is new or has moved to another address.
-// The caller holds g.mu.
+// ensure returns the server with the given description, and starts it if it is new or has moved to another address, where
+// the one at the old address is closed. The caller holds g.mu.
 func (g *Group) ensure(spec Spec) *Server {
-	if s, ok := g.servers[spec.ID]; ok && s.spec.Address == spec.Address {
-		return s
+	if known, ok := g.servers[spec.ID]; ok {
+		if known.spec.Address == spec.Address {
+			return known
+		}
+		known.close()
 	}
 	s := newServer(spec, g.dialer, g.timer, g.journal)
 	g.servers[spec.ID] = s
--- a/core/watch/compare.go
+++ b/core/watch/compare.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -18,10 +19,12 @@
 	comparedHosts = 3
 	// compareLimit is the longest time for which a starting host waits for those answers.
 	compareLimit = 2 * time.Second
-	// comparePeriod is the time between two rounds of comparisons at the start.
-	comparePeriod = 200 * time.Millisecond
-	// compareTimeout is the timeout of one comparison.
-	compareTimeout = 500 * time.Millisecond
+	// comparePeriod is the time between two rounds of comparisons at the start, and between two looks for other hosts while
+	// none is known.
+	comparePeriod = 50 * time.Millisecond
+	// compareTimeout is the timeout of one comparison, and fetchTimeout that of the transfer of a host's objects.
+	compareTimeout = 300 * time.Millisecond
+	fetchTimeout   = time.Second
 	// maxLag is the time within which a feed or a watch brings what another host has announced.
 	maxLag = time.Second
 )
@@ -43,8 +46,9 @@
 type Comparison struct {
 	// Compared is set when the host has compared its own objects with those of other hosts since its start.
 	Compared bool
-	// Newer is set when the host knows newer objects than the other one; Update is full then, and empty otherwise.
-	Newer  bool
+	// Newest holds the revisions of the newest objects that the host knows.
+	Newest Revisions
+	// Update is full, or empty if it was not asked for or the host knows nothing newer.
 	Update Update
 }
 
@@ -62,30 +66,17 @@
 	return w.cache.newest
 }
 
-// Compare returns all objects that this host knows if some are newer than the revisions up to which another host knows
-// each kind.
-func (w *Watcher) Compare(known Revisions) Comparison {
+// Compare returns what this host knows to a host that knows each kind up to a revision. With fetch it returns all objects if
+// some are newer than that.
+func (w *Watcher) Compare(known Revisions, fetch bool) Comparison {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	comparison := Comparison{
 		Compared: w.started,
-		Newer:    w.cache.newest.Newer(known),
+		Newest:   w.cache.newest,
 	}
-	if !comparison.Newer {
-		return comparison
-	}
-	comparison.Update = Update{
-		Full:      true,
-		Objects:   w.cache.since(0),
-		Revisions: w.cache.revisions,
-		After:     known,
-	}
-	for kind, objects := range comparison.Update.Objects {
-		for i := range objects {
-			if objects[i].Revision <= known[kind] {
-				objects[i].Value = nil
-			}
-		}
+	if fetch && w.cache.newest.Newer(known) {
+		comparison.Update = w.fullUpdate(known)
 	}
 	return comparison
 }
@@ -122,14 +113,23 @@
 
 // compareAtStart lets a starting host take over what other hosts know before its own state is published: a stale list or
 // the feed of a host that has lost the store may be older than what the fleet has in force. It ends when a host that has
-// compared its own objects has answered, or comparedHosts others have, or after compareLimit.
+// compared its own objects has answered, or comparedHosts others have, or after compareLimit. While no such host has
+// answered, all may have started together: each then lists the store first and fetches only what its list lacks.
 func (w *Watcher) compareAtStart(ctx context.Context) error {
 	began, answers, compared := time.Now(), 0, false
 	asked := make(map[string]bool)
 	for ctx.Err() == nil && !compared && time.Since(began) < compareLimit {
-		n, confirmed := w.compareWith(ctx, w.nextCompared(asked))
-		answers += n
-		compared = w.allRevisionsKnown() && (confirmed || answers >= comparedHosts)
+		round := w.compareWith(ctx, w.nextCompared(asked))
+		answers += round.answers
+		if round.answers > 0 && round.newest == (Revisions{}) {
+			w.listEarly.Store(true)
+		}
+		if behind := round.newest.Newer(w.known()); behind && (round.compared || w.allRevisionsKnown()) {
+			compared = w.fetch(ctx, round.source)
+		} else {
+			compared = !behind
+		}
+		compared = compared && w.allRevisionsKnown() && (round.compared || answers >= comparedHosts)
 		if !compared {
 			_ = timer.Sleep(ctx, comparePeriod)
 		}
@@ -158,43 +158,72 @@
 	return next
 }
 
-// compareWith compares this host's objects with those of other hosts and applies newer ones. It returns the number of
-// hosts that answered, and whether one of them has compared its own objects before.
-func (w *Watcher) compareWith(ctx context.Context, hosts []member.Member) (answers int, confirmed bool) {
-	results := make(chan Comparison, len(hosts))
+// round is the result of comparisons with several hosts.
+type round struct {
+	// answers is the number of hosts that answered; compared is set when one of them has compared its own objects before.
+	answers  int
+	compared bool
+	// newest holds the newest revisions that they know, and source is the host that knows the newest configuration, or
+	// among those that know the same one the newest servers.
+	newest Revisions
+	source member.Member
+}
+
+// compareWith compares what this host knows with what others know. Their objects are not transferred, since all of them may
+// have started with this host and know the same.
+func (w *Watcher) compareWith(ctx context.Context, hosts []member.Member) round {
+	type answer struct {
+		host       member.Member
+		comparison Comparison
+	}
+	answers := make(chan answer, len(hosts))
 	var group errgroup.Group
 	for _, host := range hosts {
 		group.Go(func() error {
-			if c, err := w.compare(ctx, host); err == nil {
-				results <- c
+			callCtx, cancel := context.WithTimeout(ctx, compareTimeout)
+			defer cancel()
+			if c, err := w.peers.Compare(callCtx, host, w.known(), false); err == nil {
+				answers <- answer{
+					host:       host,
+					comparison: c,
+				}
 			}
 			return nil
 		})
 	}
 	_ = group.Wait()
-	close(results)
-	for c := range results {
-		answers++
-		confirmed = confirmed || c.Compared
+	close(answers)
+	var r round
+	var best Revisions
+	for a := range answers {
+		r.answers++
+		r.compared = r.compared || a.comparison.Compared
+		for kind, revision := range a.comparison.Newest {
+			r.newest[kind] = max(r.newest[kind], revision)
+		}
+		if slices.Compare(a.comparison.Newest[:], best[:]) > 0 {
+			best, r.source = a.comparison.Newest, a.host
+		}
 	}
-	return answers, confirmed
+	return r
 }
 
-// compare compares this host's objects with those of another host, and applies that host's objects if they are newer.
-func (w *Watcher) compare(ctx context.Context, host member.Member) (Comparison, error) {
-	ctx, cancel := context.WithTimeout(ctx, compareTimeout)
+// fetch applies the objects of another host that are newer than this host's. It reports whether the host answered.
+func (w *Watcher) fetch(ctx context.Context, host member.Member) bool {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	known := w.known()
-	c, err := w.peers.Compare(ctx, host, known)
+	c, err := w.peers.Compare(ctx, host, known, true)
 	if err != nil {
-		return c, err
+		w.journal.Record("follow", "store", "newer state not fetched", err.Error())
+		return false
 	}
-	if c.Newer {
+	if c.Update.Full {
 		w.journal.Record("follow", "store", "newer state taken over",
 			fmt.Sprintf("host %s knows revisions %v, this host %v", host.ID, c.Update.Revisions, known))
 		w.applyUpdate(c.Update)
 	}
-	return c, nil
+	return true
 }
 
 // known returns the revisions up to which this host knows each kind.
--- a/core/watch/feed.go
+++ b/core/watch/feed.go
@@ -24,6 +24,19 @@
 	directWatchTime = 10 * time.Second
 	// roleCheckPeriod is the time between two checks whether this host has to watch the store or follow other hosts.
 	roleCheckPeriod = 250 * time.Millisecond
+	// followerPatience is the time for which a follower waits for a feed before it watches the store itself. Meanwhile the
+	// substitutes begin to feed it, and it catches up with what hosts of other data centres announce.
+	followerPatience = 3 * time.Second
+)
+
+// Role is the part that a host takes in watching the store for its data centre.
+type Role int
+
+// The roles. A substitute watches the store while no watcher feeds it, a follower only while no substitute does either.
+const (
+	RoleFollower Role = iota
+	RoleSubstitute
+	RoleWatcher
 )
 
 // Position is a position in the feed of one host.
@@ -52,8 +65,9 @@
 
 // Membership names the hosts that watch the store for the other hosts of their data centre.
 type Membership interface {
-	// Watchers returns the other hosts of this data centre that watch the store, and whether this host does.
-	Watchers() (others []member.Member, self bool)
+	// Watchers returns the other watchers and substitutes of this data centre, in the order in which followers ask them,
+	// and the role of this host.
+	Watchers() (others []member.Member, role Role)
 	// Settled reports whether the view of the other hosts has settled, or this host has waited long enough for that.
 	Settled() bool
 	// Others returns the other hosts that accept new work; the caller may reorder the slice.
@@ -62,25 +76,26 @@
 
 // Peers is the client of other hosts' feeds.
 type Peers interface {
-	// Compare states the revisions up to which this host knows each kind, and returns the objects of another host if some
-	// are newer.
-	Compare(ctx context.Context, with member.Member, known Revisions) (Comparison, error)
+	// Compare states the revisions up to which this host knows each kind, and returns what another host knows; with fetch
+	// also its objects if some are newer.
+	Compare(ctx context.Context, with member.Member, known Revisions, fetch bool) (Comparison, error)
 	// Feed returns the changes in a host's feed after a position. If there are none, the host waits for them for up to
-	// the given time and then returns an empty update.
-	Feed(ctx context.Context, from member.Member, after Position, wait time.Duration) (Update, error)
+	// the given time and then returns an empty update. A full update lacks the values up to the known revisions.
+	Feed(ctx context.Context, from member.Member, after Position, known Revisions, wait time.Duration) (Update, error)
 }
 
 // Feed returns the changes in this host's feed after a position. If there are none, it waits for them, for at most
-// feedWait, and then returns an empty update. The error is ErrFeedUnavailable unless this host watches and reaches the
-// store and knows a revision of every kind, or that of ctx if ctx ends during the wait.
-func (w *Watcher) Feed(ctx context.Context, after Position, wait time.Duration) (Update, error) {
+// feedWait, and then returns an empty update. A full update lacks the values of objects up to the revisions that the other
+// host knows. The error is ErrFeedUnavailable unless this host watches and reaches the store and knows a revision of every
+// kind, or that of ctx if ctx ends during the wait.
+func (w *Watcher) Feed(ctx context.Context, after Position, known Revisions, wait time.Duration) (Update, error) {
 	waitTimer := time.NewTimer(min(wait, feedWait))
 	defer waitTimer.Stop()
 	for {
-		if _, self := w.membership.Watchers(); !self || w.sourceDown.Load() || !w.allRevisionsKnown() {
+		if !w.watcherOrDirect() || w.sourceDown.Load() || !w.allRevisionsKnown() {
 			return Update{}, ErrFeedUnavailable
 		}
-		update, changed := w.updateAfter(after)
+		update, changed := w.updateAfter(after, known)
 		if update.Position != after {
 			return update, nil
 		}
@@ -95,24 +110,42 @@
 }
 
 // updateAfter returns the changes after a position, and a channel that is closed at the next change. The update is full
-// for the start of the feed and for positions of another epoch.
-func (w *Watcher) updateAfter(after Position) (Update, <-chan struct{}) {
+// for the start of the feed, for positions of another epoch and for those before a removal that is no longer kept.
+func (w *Watcher) updateAfter(after Position, known Revisions) (Update, <-chan struct{}) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	full := after.Epoch != w.epoch || after.Sequence == 0
-	from := after.Sequence
-	if full {
-		from = 0
+	var update Update
+	if after.Epoch != w.epoch || !w.cache.complete(after.Sequence) {
+		update = w.fullUpdate(known)
+	} else {
+		update = Update{
+			Objects:   w.cache.since(after.Sequence),
+			Revisions: w.cache.revisions,
+		}
 	}
-	return Update{
-		Position: Position{
-			Epoch:    w.epoch,
-			Sequence: w.cache.sequence,
-		},
-		Full:      full,
-		Objects:   w.cache.since(from),
+	update.Position = Position{
+		Epoch:    w.epoch,
+		Sequence: w.cache.sequence,
+	}
+	return update, w.changed
+}
+
+// fullUpdate returns all objects that exist, without the values up to the known revisions. The caller holds mu.
+func (w *Watcher) fullUpdate(known Revisions) Update {
+	update := Update{
+		Full:      true,
+		Objects:   w.cache.since(0),
 		Revisions: w.cache.revisions,
-	}, w.changed
+		After:     known,
+	}
+	for kind, objects := range update.Objects {
+		for i := range objects {
+			if objects[i].Revision <= known[kind] {
+				objects[i].Value = nil
+			}
+		}
+	}
+	return update
 }
 
 // allRevisionsKnown reports whether the revision of every kind is known, from a list or from another host's feed.
@@ -128,51 +161,68 @@
 }
 
 // watchesStore reports whether this host watches the store itself.
-func (w *Watcher) watchesStore() bool {
-	if !w.membership.Settled() {
-		return false
-	}
-	_, self := w.membership.Watchers()
-	return self || time.Now().UnixNano() < w.directWatchUntil.Load()
+func (w *Watcher) watchesStore() bool { return w.membership.Settled() && w.watcherOrDirect() }
+
+// watcherOrDirect reports whether this host is a watcher or has to watch the store since nobody feeds it.
+func (w *Watcher) watcherOrDirect() bool {
+	_, role := w.membership.Watchers()
+	return role == RoleWatcher || time.Now().UnixNano() < w.directWatchUntil.Load()
 }
 
 // followPeers applies the feeds of the hosts that watch the store for this one. If none answers, it falls back to the
 // store.
 func (w *Watcher) followPeers(ctx context.Context) error {
 	var position Position
+	var feeder string
+	lastFed := time.Now()
 	for ctx.Err() == nil {
-		others, _ := w.membership.Watchers()
+		others, role := w.membership.Watchers()
 		if !w.membership.Settled() || w.watchesStore() || len(others) == 0 {
+			lastFed = time.Now()
 			_ = timer.Sleep(ctx, roleCheckPeriod)
 			continue
 		}
-		next, ok := w.pollPeers(ctx, others, position)
+		next, from, ok := w.pollPeers(ctx, startingWith(others, feeder), position)
 		if ok {
-			position = next
+			position, feeder, lastFed = next, from, time.Now()
 			continue
 		}
 		position = Position{}
+		if role == RoleFollower && time.Since(lastFed) < followerPatience {
+			_ = timer.Sleep(ctx, roleCheckPeriod)
+			continue
+		}
 		w.fallBackToStore(ctx)
 	}
 	return nil
 }
 
-// pollPeers asks one host after the other for changes until one answers, and applies them. It returns the new position;
-// ok is false if no host answered, unless ctx has ended.
-func (w *Watcher) pollPeers(ctx context.Context, others []member.Member, after Position) (next Position, ok bool) {
-	for _, from := range others {
+// startingWith moves the member with an ID to the front, so that a host that does not answer is not asked again each time.
+func startingWith(members []member.Member, id string) []member.Member {
+	i := slices.IndexFunc(members, func(m member.Member) bool { return m.ID == id })
+	if i <= 0 {
+		return members
+	}
+	first := members[i]
+	return append([]member.Member{first}, slices.Delete(members, i, i+1)...)
+}
+
+// pollPeers asks one host after the other for changes until one answers, and applies them. It returns the new position
+// and the ID of the host that answered; ok is false if none did, unless ctx has ended.
+func (w *Watcher) pollPeers(ctx context.Context, others []member.Member, after Position) (next Position, from string, ok bool) {
+	for _, m := range others {
 		callCtx, cancel := context.WithTimeout(ctx, feedTimeout)
-		update, err := w.peers.Feed(callCtx, from, after, feedWait)
+		update, err := w.peers.Feed(callCtx, m, after, w.known(), feedWait)
 		cancel()
 		if err == nil {
 			w.applyUpdate(update)
-			return update.Position, true
+			return update.Position, m.ID, true
 		}
 		if ctx.Err() != nil {
-			return after, true
+			return after, m.ID, true
 		}
 	}
-	return after, false
+	return after, "", false
 }
 
 // fallBackToStore makes this host watch the store for directWatchTime if the store answers a ping.
--- a/core/watch/objectcache.go
+++ b/core/watch/objectcache.go
@@ -9,8 +9,9 @@
 // which they arrived.
 type objectCache struct {
 	entries [kindCount]map[string]entry
-	// sequence is the number of the last change.
+	// sequence is the number of the last change, and expired that of the newest removal that was dropped.
 	sequence uint64
+	expired  uint64
 	// revisions holds the store's revision up to which each kind is known; 0 if a list is needed.
 	revisions Revisions
 	// newest holds the revision of the newest object of each kind, removals included.
@@ -79,6 +80,9 @@
 	return removed
 }
 
+// complete reports whether the cache still holds all changes after a sequence number.
+func (c *objectCache) complete(sequence uint64) bool { return sequence > 0 && sequence >= c.expired }
+
 // since returns the objects that changed after a sequence number, removals included; for 0 it returns all that exist.
 func (c *objectCache) since(sequence uint64) [kindCount][]Object {
 	var changed [kindCount][]Object
@@ -97,6 +101,7 @@
 	for kind := range c.entries {
 		for name, e := range c.entries[kind] {
 			if e.object.Deleted && now.Sub(e.recordedAt) > tombstoneTTL {
+				c.expired = max(c.expired, e.sequence)
 				delete(c.entries[kind], name)
 			}
 		}
--- a/core/watch/watcher.go
+++ b/core/watch/watcher.go
@@ -34,7 +34,7 @@
 	// holdCheckPeriod is the time between two checks for held removals that are due, and for changes that are overdue.
 	holdCheckPeriod = 250 * time.Millisecond
 	// firstListDelay is the time for which a starting host waits for the state of other hosts before it lists the store.
-	firstListDelay = 300 * time.Millisecond
+	firstListDelay = 120 * time.Millisecond
 )
 
 // Watcher keeps a topo.State up to date, either by watching the store or by following the feeds of those hosts of its
@@ -52,6 +52,8 @@
 	// epoch is drawn at random at each start and is part of the positions in this host's feed.
 	epoch uint64
 
+	// listEarly is set when other hosts know nothing of the store either, so that waiting for them is of no use.
+	listEarly atomic.Bool
 	// sourceDown is set while the store does not answer pings.
 	sourceDown atomic.Bool
 	// directWatchUntil is the Unix time in nanoseconds until which this host watches the store although other hosts are
@@ -132,9 +134,12 @@
 
 // watchKind lists a kind while its revision is not known, and then watches it as long as this host watches the store.
 // Lists may be stale until the first revision is known: updates of other hosts or a watch bring them up to date. The first
-// list is made only if no other host has stated its objects within firstListDelay, so that a restart costs the store nothing.
+// list is made only if no other host has stated its objects within firstListDelay, or the others know none either, so that a
+// restart costs the store nothing.
 func (w *Watcher) watchKind(ctx context.Context, kind Kind) error {
-	_ = timer.Sleep(ctx, firstListDelay)
+	for began := time.Now(); ctx.Err() == nil && time.Since(began) < firstListDelay && !w.listEarly.Load(); {
+		_ = timer.Sleep(ctx, firstListDelay/10)
+	}
 	backoff, synced := minBackoff, false
 	for ctx.Err() == nil {
 		if w.revision(kind) > 0 {
@@ -270,7 +275,7 @@
 		case tick := <-ticks:
 			w.releaseDue(tick.At)
 			if l, ok := w.overdueLag(tick.At); ok {
-				_, _ = w.compare(ctx, l.host) // A failure is repeated after the next announcement.
+				w.fetch(ctx, l.host) // A failure is repeated after the next announcement.
 			}
 		}
 	}
--- a/io/peer/compare.go
+++ b/io/peer/compare.go
@@ -29,18 +29,19 @@
 func (c *Client) SetAnnouncer(a Announcer) { c.announcer = a }
 
 // Compare implements watch.Peers.
-func (c *Client) Compare(ctx context.Context, with member.Member, known watch.Revisions) (watch.Comparison, error) {
+func (c *Client) Compare(ctx context.Context, with member.Member, known watch.Revisions, fetch bool) (watch.Comparison, error) {
 	reply, err := c.controlClient(with.Address).Compare(ctx, newRequest(&frame.CompareRequest{
-		Newest: known[:],
+		Known: known[:],
+		Fetch: fetch,
 	}))
 	if err != nil {
 		return watch.Comparison{}, errors.Wrapf(err, "compare with host %s", with.ID)
 	}
 	comparison := watch.Comparison{
 		Compared: reply.Msg.GetCompared(),
-		Newer:    reply.Msg.GetNewer(),
 	}
-	if !comparison.Newer {
+	comparison.Newest, _ = revisionsOf(reply.Msg.GetNewest())
+	if len(reply.Msg.GetRevisions()) == 0 {
 		return comparison, nil
 	}
 	comparison.Update.Full, comparison.Update.After = true, known
@@ -53,17 +54,17 @@
 	if s.feeder == nil {
 		return nil, connect.NewError(connect.CodeUnimplemented, watch.ErrFeedUnavailable)
 	}
-	known, ok := revisionsOf(request.Msg.GetNewest())
+	known, ok := revisionsOf(request.Msg.GetKnown())
 	if !ok {
 		return nil, connect.NewError(connect.CodeInvalidArgument,
-			errors.Errorf("request has the revisions of %d kinds, want %d", len(request.Msg.GetNewest()), watch.KindCount))
+			errors.Errorf("request has the revisions of %d kinds, want %d", len(request.Msg.GetKnown()), watch.KindCount))
 	}
-	comparison := s.feeder.Compare(known)
+	comparison := s.feeder.Compare(known, request.Msg.GetFetch())
 	reply := &frame.CompareReply{
 		Compared: comparison.Compared,
-		Newer:    comparison.Newer,
+		Newest:   comparison.Newest[:],
 	}
-	if comparison.Newer {
+	if comparison.Update.Full {
 		reply.Objects = objectFrames(comparison.Update)
 		reply.Revisions = comparison.Update.Revisions[:]
 	}
--- a/io/peer/feed.go
+++ b/io/peer/feed.go
@@ -14,19 +14,21 @@
 
 // Feeder is this host's feed of the objects in the platform's store.
 type Feeder interface {
-	// Feed returns the changes after a position. If there are none, it waits for them for up to the given time.
-	Feed(ctx context.Context, after watch.Position, wait time.Duration) (watch.Update, error)
-	// Compare returns all objects that this host knows if some are newer than the revisions up to which another host
-	// knows each kind.
-	Compare(known watch.Revisions) watch.Comparison
+	// Feed returns the changes after a position. If there are none, it waits for them for up to the given time. A full
+	// update lacks the values up to the known revisions.
+	Feed(ctx context.Context, after watch.Position, known watch.Revisions, wait time.Duration) (watch.Update, error)
+	// Compare returns what this host knows to a host that knows each kind up to a revision; with fetch also all objects if
+	// some are newer.
+	Compare(known watch.Revisions, fetch bool) watch.Comparison
 }
 
 // Feed implements watch.Peers.
-func (c *Client) Feed(ctx context.Context, from member.Member, after watch.Position, wait time.Duration) (watch.Update, error) {
+func (c *Client) Feed(ctx context.Context, from member.Member, after watch.Position, known watch.Revisions, wait time.Duration) (watch.Update, error) {
 	reply, err := c.persistentClient(from.Address).Feed(ctx, newRequest(&frame.FeedRequest{
 		Epoch:    after.Epoch,
 		Sequence: after.Sequence,
 		WaitMs:   uint32(wait.Milliseconds()),
+		Known:    known[:],
 	}))
 	if err != nil {
 		return watch.Update{}, errors.Wrapf(err, "feed from host %s", from.ID)
@@ -43,7 +45,8 @@
 		Epoch:    request.Msg.GetEpoch(),
 		Sequence: request.Msg.GetSequence(),
 	}
-	update, err := s.feeder.Feed(ctx, after, time.Duration(request.Msg.GetWaitMs())*time.Millisecond)
+	known, _ := revisionsOf(request.Msg.GetKnown()) // A host of an older version states none and gets all values.
+	update, err := s.feeder.Feed(ctx, after, known, time.Duration(request.Msg.GetWaitMs())*time.Millisecond)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
@@ -56,6 +59,7 @@
 		Sequence:  update.Position.Sequence,
 		Whole:     update.Full,
 		Revisions: update.Revisions[:],
+		After:     update.After[:],
 		Objects:   objectFrames(update),
 	}
 }
@@ -84,6 +88,7 @@
 		},
 		Full: reply.GetWhole(),
 	}
+	update.After, _ = revisionsOf(reply.GetAfter()) // A host of an older version leaves out no value.
 	err = addObjects(&update, reply.GetObjects(), reply.GetRevisions())
 	return update, err
 }
--- a/io/peer/frame/frame.connect.go
+++ b/io/peer/frame/frame.connect.go
@@ -68,7 +68,7 @@
 	Feed(context.Context, *connect.Request[FeedRequest]) (*connect.Response[FeedReply], error)
 	// Gather collects and merges the replies of some shards of a set, for a host that has no replicas of them near it.
 	Gather(context.Context, *connect.Request[GatherRequest]) (*connect.Response[GatherReply], error)
-	// Compare returns the objects of the platform's store that a host knows, if it knows newer ones than the calling host.
+	// Compare returns the newest revisions that a host knows of the platform's store and, if asked, its objects.
 	Compare(context.Context, *connect.Request[CompareRequest]) (*connect.Response[CompareReply], error)
 }
 
@@ -203,7 +203,7 @@
 	Feed(context.Context, *connect.Request[FeedRequest]) (*connect.Response[FeedReply], error)
 	// Gather collects and merges the replies of some shards of a set, for a host that has no replicas of them near it.
 	Gather(context.Context, *connect.Request[GatherRequest]) (*connect.Response[GatherReply], error)
-	// Compare returns the objects of the platform's store that a host knows, if it knows newer ones than the calling host.
+	// Compare returns the newest revisions that a host knows of the platform's store and, if asked, its objects.
 	Compare(context.Context, *connect.Request[CompareRequest]) (*connect.Response[CompareReply], error)
 }
 
--- a/io/peer/gather.go
+++ b/io/peer/gather.go
@@ -10,27 +10,46 @@
 	"magnoliaworks/core/member"
 	"magnoliaworks/core/query"
 	"magnoliaworks/core/relay"
+	"magnoliaworks/core/topo"
 	"magnoliaworks/io/peer/frame"
 )
 
 // Relay gathers the replies of shards on behalf of other hosts.
 type Relay interface {
-	// Gather returns the merged replies of some services of a message's shard set. It ends with ctx.
-	Gather(ctx context.Context, m *query.Message, services []string) (relay.GatherResult, error)
+	// Gather returns the merged replies of the services of a task. It ends with ctx.
+	Gather(ctx context.Context, m *query.Message, task relay.GatherTask) (relay.GatherResult, error)
+	// MatchTask returns the task of gathering some services for a message by this host's configuration.
+	MatchTask(m *query.Message, services []string) (relay.GatherTask, error)
 }
 
 // Gather implements relay.Peers. It counts roundTrip as elapsed, so that the reply arrives in time. The error wraps
 // relay.ErrNotExecuted if no connection was opened or the other host has no Relay.
-func (c *Client) Gather(ctx context.Context, to member.Member, m *query.Message, services []string, roundTrip time.Duration) (relay.GatherResult, error) {
-	elapsed := time.Since(m.Arrived) + m.Elapsed + roundTrip
+func (c *Client) Gather(ctx context.Context, to member.Member, m *query.Message, task relay.GatherTask, roundTrip time.Duration) (relay.GatherResult, error) {
+	target, ok := task.Route.Target.(topo.ShardSet)
+	if !ok {
+		return relay.GatherResult{}, errors.Wrapf(relay.ErrNotExecuted, "the target of route %q is not a shard set", task.Route.Name)
+	}
+	timeout, elapsed := m.Timeout, time.Since(m.Arrived)+m.Elapsed+roundTrip
+	if task.Route.Timeout > 0 {
+		timeout = min(timeout, task.Route.Timeout)
+	}
 	reply, err := c.persistentClient(to.Address).Gather(ctx, newRequest(&frame.GatherRequest{
 		Id:          m.ID,
 		Host:        m.Host,
 		Path:        m.Path,
 		Head:        m.Head,
-		RemainingUs: uint32(max(m.Timeout-elapsed, 0).Microseconds()),
+		RemainingUs: uint32(max(timeout-elapsed, 0).Microseconds()),
 		SpentUs:     uint32(elapsed.Microseconds()),
-		Services:    services,
+		Services:    target.Services,
+		Route: &frame.ShardRoute{
+			Name:        task.Route.Name,
+			ObjectiveUs: uint32(task.Route.LatencyObjective.Microseconds()),
+			MaxAttempts: uint32(task.Route.MaxAttempts),
+			Priority:    uint32(task.Route.Priority),
+			RecordLimit: uint32(target.TopK),
+			SetSize:     uint32(task.SetSize),
+			LeastShare:  target.MinCoverage,
+		},
 	}))
 	if dialFailed(err) || connect.CodeOf(err) == connect.CodeUnimplemented {
 		return relay.GatherResult{}, errors.Wrapf(relay.ErrNotExecuted, "host %s: %v", to.ID, err)
@@ -55,7 +74,7 @@
 	message := request.Msg
 	arrived := time.Now()
 	elapsed := time.Duration(message.GetSpentUs()) * time.Microsecond
-	result, err := s.relay.Gather(ctx, &query.Message{
+	m := &query.Message{
 		ID:         message.GetId(),
 		Host:       message.GetHost(),
 		Path:       message.GetPath(),
@@ -64,7 +83,12 @@
 		Elapsed:    elapsed,
 		Timeout:    time.Duration(message.GetRemainingUs())*time.Microsecond + elapsed,
 		OmitHeader: true,
-	}, message.GetServices())
+	}
+	task, err := s.gatherTask(m, message)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	result, err := s.relay.Gather(ctx, m, task)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
@@ -76,3 +100,27 @@
 		TookUs:  uint32(time.Since(arrived).Microseconds()),
 	}), nil
 }
+
+// gatherTask returns the task that the calling host states, or by this host's configuration if an older host states only
+// the services.
+func (s *Service) gatherTask(m *query.Message, request *frame.GatherRequest) (relay.GatherTask, error) {
+	route := request.GetRoute()
+	if route == nil {
+		return s.relay.MatchTask(m, request.GetServices())
+	}
+	return relay.GatherTask{
+		Route: &topo.Route{
+			Name:             route.GetName(),
+			Idempotent:       true,
+			LatencyObjective: time.Duration(route.GetObjectiveUs()) * time.Microsecond,
+			MaxAttempts:      int(route.GetMaxAttempts()),
+			Priority:         int(route.GetPriority()),
+			Target: topo.ShardSet{
+				Services:    request.GetServices(),
+				TopK:        int(route.GetRecordLimit()),
+				MinCoverage: route.GetLeastShare(),
+			},
+		},
+		SetSize: int(route.GetSetSize()),
+	}, nil
+}
--- a/membership.go
+++ b/membership.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"magnoliaworks/core/member"
+	"magnoliaworks/core/watch"
 )
 
 const (
@@ -18,8 +19,10 @@
 	// and settleTimeout the time after the start at which it counts as settled in any case.
 	settleTime    = 700 * time.Millisecond
 	settleTimeout = 3 * time.Second
-	// watchersPerDataCentre is the number of hosts of a data centre that watch the store on behalf of all of them.
-	watchersPerDataCentre = 2
+	// watchersPerDataCentre is the number of hosts of a data centre that watch the store on behalf of all of them, and
+	// substitutesPerDataCentre the number of those that do so while no watcher answers.
+	watchersPerDataCentre    = 2
+	substitutesPerDataCentre = 2
 )
 
 // membership counts the hosts that share the bounds of the fleet, and ranks them to share out work.
@@ -70,7 +73,7 @@
 }
 
 // Watchers implements watch.Membership.
-func (ms *membership) Watchers() (others []member.Member, self bool) {
+func (ms *membership) Watchers() (others []member.Member, role watch.Role) {
 	me := ms.table.Self()
 	var local []member.Member
 	for _, m := range ms.table.View().Available() {
@@ -78,14 +81,20 @@
 			local = append(local, m)
 		}
 	}
-	for _, m := range member.Rank(local, "store/"+me.DataCentre, watchersPerDataCentre) {
-		if m.ID == me.ID {
-			self = true
-			continue
+	for rank, m := range member.Rank(local, "store/"+me.DataCentre, watchersPerDataCentre+substitutesPerDataCentre) {
+		switch {
+		case m.ID != me.ID:
+			others = append(others, m)
+		case rank < watchersPerDataCentre:
+			role = watch.RoleWatcher
+		default:
+			role = watch.RoleSubstitute
 		}
-		others = append(others, m)
 	}
-	return others, self || len(others) == 0
+	if len(others) == 0 {
+		role = watch.RoleWatcher
+	}
+	return others, role
 }
 
 // Settled implements watch.Membership.
--- a/stand/site/restart_test.go
+++ b/stand/site/restart_test.go
@@ -110,3 +110,35 @@
 		So(violations, ShouldBeEmpty)
 	})
 }
+
+// TestFewHostsReplaceRefusedWatchers runs twelve hosts in one data centre and makes the store refuse the two that watch it
+// for the others. Calls to the store must not grow with the number of hosts.
+func TestFewHostsReplaceRefusedWatchers(t *testing.T) {
+	const substitutes = 2
+	var watching, later map[string]bool
+	var violations map[string]int
+	inRig(t, func(r *rig) {
+		for i := range 11 {
+			r.add(fmt.Sprintf("more-%d", i), "east")
+		}
+		time.Sleep(10 * time.Second)
+		watching = r.site.Store.Watchers()
+		for id := range watching {
+			r.site.Store.Refuse(id)
+		}
+		time.Sleep(5 * time.Second)
+		r.site.Drain("sh-a-0", false)
+		time.Sleep(2 * time.Second)
+		for i := range r.hosts {
+			if r.hosts[i].settings.DataCentre == "east" {
+				r.load(i, searchHost, 10, 200*time.Millisecond)
+			}
+		}
+		later = r.site.Store.Watchers()
+		violations = r.site.ExecutionLog.Violations()
+	})
+	Convey("Two others watch it for the data centre, and all hosts learn of changes", t, func() {
+		So(len(later)-len(watching), ShouldBeLessThanOrEqualTo, substitutes)
+		So(violations, ShouldBeEmpty)
+	})
+}
