--- a/core/watch/feed.go
+++ b/core/watch/feed.go
@@ -228,7 +228,7 @@
 // fallBackToStore makes this host watch the store for directWatchTime if the store answers a ping.
 func (w *Watcher) fallBackToStore(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
-	err := w.source.Ping(callCtx)
+	_, err := w.source.Ping(callCtx)
 	cancel()
 	if err != nil {
 		_ = timer.Sleep(ctx, jitter(pingPeriod))
--- a/core/watch/object.go
+++ b/core/watch/object.go
@@ -61,8 +61,9 @@
 	// Watch waits for changes after a revision and returns them, or none if none came for some time.
 	// The error is ErrHistoryGone when the changes are no longer kept.
 	Watch(ctx context.Context, kind Kind, after uint64) (Changes, error)
-	// Ping returns nil if the store answers.
-	Ping(ctx context.Context) error
+	// Ping returns no error if the store answers. The result is a stale list of the evacuations, whose revision is 0 if it is
+	// not whole.
+	Ping(ctx context.Context) (Changes, error)
 }
 
 // Decoder decodes the values of the platform's objects.
--- a/core/watch/watcher.go
+++ b/core/watch/watcher.go
@@ -228,10 +228,11 @@
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
-		err := w.source.Ping(callCtx)
+		evacuations, err := w.source.Ping(callCtx)
 		cancel()
 		if ctx.Err() == nil {
 			w.handlePing(err)
+			w.applyPing(evacuations)
 		}
 	}
 }
--- a/stand/site/objecthandler.go
+++ b/stand/site/objecthandler.go
@@ -104,7 +104,8 @@
 }
 
 // watch answers with the events after a revision as soon as there are any, or with none at the end of wait_ms.
-// It answers 410 when the history no longer reaches back to the revision, and 503 when the host is refused meanwhile.
+// It answers 410 when the history no longer reaches back to the revision, and 503 when the host is refused meanwhile. A watch
+// that begins while CutWatches drops the history returns nothing.
 func (o *ObjectStore) watch(c *fasthttp.RequestCtx, kind string) {
 	after, err := strconv.ParseUint(string(c.QueryArgs().Peek("watch")), 10, 64)
 	wait := c.QueryArgs().GetUintOrZero("wait_ms")
@@ -113,12 +114,21 @@
 		return
 	}
 	deadline := time.Now().Add(time.Duration(wait) * time.Millisecond)
+	cuts, began, deaf := o.cutCount(), time.Now(), false
 	for {
+		if o.cutCount() > cuts {
+			c.HijackSetNoResponse(true)
+			c.Hijack(func(net.Conn) {})
+			return
+		}
 		events, revision, compacted := o.eventsAfter(kind, after)
 		switch {
 		case o.refuses(stand.OwnerOf(c.Conn())):
 			c.SetStatusCode(fasthttp.StatusServiceUnavailable)
 			return
+		case compacted && cuts > 0 && time.Since(began) < deafTime:
+			deaf = true
+		case deaf && time.Now().Before(deadline):
 		case compacted:
 			c.SetStatusCode(fasthttp.StatusGone)
 			return
--- a/stand/site/objectstore.go
+++ b/stand/site/objectstore.go
@@ -47,6 +47,8 @@
 	watchers map[string]bool
 	refused  map[string]bool
 	stalled  map[string]bool
+	// cuts counts the calls of CutWatches, which drops the history deafTime later.
+	cuts int
 	// stale holds, for each kind, the objects that stale lists return, as they were at staleRevision; nil if such lists
 	// are up to date.
 	stale         map[string]map[string]object
@@ -231,3 +233,22 @@
 	}
 	return o.kinds[kind], o.revision
 }
+
+// deafTime is the time after CutWatches within which a new watch is accepted but hears nothing.
+const deafTime = 20 * time.Millisecond
+
+// CutWatches cuts all watches that wait, as a store does that is about to drop its history. A watch that comes back within
+// deafTime is accepted and returns nothing until its wait ends; a later one gets 410.
+func (o *ObjectStore) CutWatches() {
+	o.mu.Lock()
+	o.cuts++
+	o.mu.Unlock()
+	time.Sleep(deafTime)
+	o.Compact()
+}
+
+func (o *ObjectStore) cutCount() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.cuts
+}
--- a/stand/site/rules_test.go
+++ b/stand/site/rules_test.go
@@ -83,6 +83,8 @@
 			time.Sleep(4 * time.Second)
 			s.Drain("desk-0", true)
 		}},
+		{name: "evacuated while watches are cut", change: func(s *Site) { s.Store.CutWatches(); s.Evacuate("east") }},
+		{name: "draining while watches are cut", change: func(s *Site) { s.Store.CutWatches(); s.Drain("sh-a-0", false) }},
 		{name: "address used by another service", change: func(s *Site) {
 			if err := s.ReuseAddress("sh-a-0", "desk", "desk-9", 10*time.Millisecond); err != nil {
 				panic(err)
