Decide under load which searches are started, and end hopeless ones

Searches need nearly all shards; where several are overloaded each rejects other searches, and hardly any is complete. A search that could not be answered any more waited for its deadline. Shards that no one data centre has were called one by one by every host: 5,073 connections over the servers' cap. Change: core/shed decides, without I/O: a host starts a share of a route's searches by additive increase and multiplicative decrease, ends a search that is out of reach, spreads Retry-After, and leaves 0.4 of its budget to retries while calls bring no reply. A search is divided among gathering hosts of several data centres. A refusal from the queue names its cause.

--- a/core/relay/completion.go
+++ b/core/relay/completion.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"time"
 
 	"magnoliaworks/core/query"
@@ -14,6 +15,9 @@
 	a.ended = true
 	s := &e.shards[a.shard]
 	s.pending--
+	rejected := isRejection(c.result)
+	s.rejected = s.rejected || rejected
+	e.relay.losses.Observe(rejected || isLoss(c.result), time.Now())
 	switch r := c.result.(type) {
 	case query.Done:
 		s.ran++
@@ -36,6 +40,18 @@
 	}
 }
 
+// isRejection reports whether a server rejected a call for lack of capacity.
+func isRejection(result query.Result) bool {
+	notExecuted, ok := result.(query.NotExecuted)
+	return ok && notExecuted.Cause == query.Busy
+}
+
+// isLoss reports whether a call ended without a reply although a server may have executed it.
+func isLoss(result query.Result) bool {
+	failed, ok := result.(query.Failed)
+	return ok && failed.Reply == nil
+}
+
 // recordFailure adds a trace step for a call without a successful reply.
 func (e *execution) recordFailure(a *attempt, s *shard, what string) {
 	e.step(trace.Step{
@@ -132,8 +148,8 @@
 		}, nil
 	case s.ran == 0 && s.pending == 0:
 		return nil, query.NotRun{
-			Reason:     s.failureReason,
-			RetryAfter: overloadRetryAfter,
+			Reason:     cmp.Or(s.failureReason, "no connection to a server became free in time"),
+			RetryAfter: e.retryAfter(),
 		}
 	case s.failureReply != nil && s.pending == 0:
 		return Passthrough{
@@ -182,9 +198,11 @@
 				signatures = append(signatures, reply.Signature)
 			}
 		}
-		if e.peerResult != nil {
-			bodies = append(bodies, e.peerResult.Body)
-			signatures = append(signatures, e.peerResult.Signatures...)
+		for _, d := range e.delegations {
+			if d.gathered != nil {
+				bodies = append(bodies, d.gathered.Body)
+				signatures = append(signatures, d.gathered.Signatures...)
+			}
 		}
 		return Merged{
 			Signatures: signatures,
@@ -195,7 +213,7 @@
 	if !e.mayHaveRun() {
 		return nil, query.NotRun{
 			Reason:     e.firstReason(),
-			RetryAfter: overloadRetryAfter,
+			RetryAfter: e.retryAfter(),
 		}
 	}
 	return nil, query.Partial{
--- a/core/relay/delegates.go
+++ b/core/relay/delegates.go
@@ -1,9 +1,13 @@
 package relay
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"magnoliaworks/core/limit"
 	"magnoliaworks/core/member"
 )
@@ -49,29 +53,31 @@
 	}
 }
 
-// choose returns the first host that is not in backoff among the delegateCandidates hosts of suitable data centres
-// that rank first for this one. It reports false if there is none, even if hosts of lower rank are available.
-func (d *delegates) choose(hosts []member.Member, now time.Time, suitable func(dataCentre string) bool) (member.Member, bool) {
-	suitability := make(map[string]bool)
-	candidates := make([]member.Member, 0, len(hosts))
+// choose returns a host of each data centre other than own: the first that is not in backoff among the delegateCandidates
+// hosts that rank first for this one. Data centres of which these hosts are all in backoff are left out, even if hosts of
+// lower rank are available. The order of the data centres differs from host to host, so that equal ones share the work.
+func (d *delegates) choose(hosts []member.Member, own string, now time.Time) []member.Member {
+	byDataCentre := make(map[string][]member.Member)
 	for _, m := range hosts {
-		ok, known := suitability[m.DataCentre]
-		if !known {
-			ok = suitable(m.DataCentre)
-			suitability[m.DataCentre] = ok
-		}
-		if ok {
-			candidates = append(candidates, m)
+		if m.DataCentre != own {
+			byDataCentre[m.DataCentre] = append(byDataCentre[m.DataCentre], m)
 		}
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, m := range member.Rank(candidates, "gather/"+d.self, delegateCandidates) {
-		if now.After(d.backoffs[m.ID].until) {
-			return m, true
+	var chosen []member.Member
+	for _, candidates := range byDataCentre {
+		for _, m := range member.Rank(candidates, "gather/"+d.self, delegateCandidates) {
+			if now.After(d.backoffs[m.ID].until) {
+				chosen = append(chosen, m)
+				break
+			}
 		}
 	}
-	return member.Member{}, false
+	slices.SortFunc(chosen, func(a, b member.Member) int {
+		return cmp.Compare(xxhash.Sum64String(d.self+"/"+a.DataCentre), xxhash.Sum64String(d.self+"/"+b.DataCentre))
+	})
+	return chosen
 }
 
 // recordFailure puts a host into backoff, for longer with each failure in a row. A failure counts as the first
--- a/core/relay/delegation.go
+++ b/core/relay/delegation.go
@@ -41,28 +41,34 @@
 	Elapsed time.Duration
 }
 
-// delegation is the call by which a peer host gathers some shards. The goroutine of the execution owns it,
-// except for results, which the goroutine of the call writes to.
+// delegation is the call by which a peer host gathers some shards. The goroutine of the execution owns it.
 type delegation struct {
-	host    member.Member
-	sentAt  time.Time
-	group   errgroup.Group
-	cancel  context.CancelFunc
-	results chan delegationResult
-	ended   bool
+	host   member.Member
+	sentAt time.Time
+	// services is the set of services that the peer host calls.
+	services map[string]bool
+	group    errgroup.Group
+	cancel   context.CancelFunc
+	ended    bool
 	// overdue is set once the host has been put into backoff because its reply is late.
 	overdue bool
+	// gathered is what the peer host returned; nil if it has not answered.
+	gathered *GatherResult
 }
 
+// delegationResult is the result of a delegation.
 type delegationResult struct {
-	gathered GatherResult
-	err      error
+	delegation *delegation
+	gathered   GatherResult
+	err        error
 }
 
-// delegate has a host of another data centre gather the shards without a replica in this one, so that one message and one
-// reply cross data centres instead of one of each per shard. If the servers of the first of these shards have connections
-// to spare for every host (see preferenceSeed), it calls them itself, since it can then choose the least loaded of all
-// replicas. Messages with a body, or whose replies have none, are not delegated.
+// delegate has hosts of other data centres gather the shards without a replica in this one, so that one message and one
+// reply cross to each of these data centres instead of one of each per shard, and a server gets connections from the hosts
+// of its own data centre only. That also holds when no single data centre has all of these shards, as after the loss of
+// some servers of each. If the servers of the first of these shards have connections to spare for every host (see
+// preferenceSeed), this host calls them itself, since it can then choose the least loaded of all replicas. Messages with a
+// body, or whose replies have none, are not delegated.
 func (e *execution) delegate(now time.Time) {
 	target, ok := e.route.Target.(topo.ShardSet)
 	if !ok || e.relay.options.Peers == nil || e.forPeer || e.message.NoBody || len(e.message.Body) > 0 {
@@ -73,45 +79,48 @@
 	if len(remote) < minDelegatedShards || e.relay.preferenceSeed(t, remote[0]) == 0 {
 		return
 	}
-	host, ok := e.relay.delegates.choose(e.relay.options.Membership.Available(), now, func(dataCentre string) bool {
-		return dataCentre != e.relay.options.DataCentre && len(t.servicesWithout(remote, dataCentre)) == 0
-	})
-	if !ok {
-		return
+	hosts := e.relay.delegates.choose(e.relay.options.Membership.Available(), e.relay.options.DataCentre, now)
+	for _, part := range t.partition(remote, hosts) {
+		if len(part.services) >= minDelegatedShards {
+			e.sendDelegation(part.host, newGatherTask(e.route, target, part.services), part.services, now)
+		}
 	}
-	e.sendDelegation(host, newGatherTask(e.route, target, remote), remote, now)
 }
 
-// sendDelegation sends the delegation and marks its shards as pending.
+// sendDelegation sends a delegation and marks its shards as pending.
 func (e *execution) sendDelegation(host member.Member, task GatherTask, services []string, now time.Time) {
-	wanted := setOf(services)
+	d := &delegation{
+		host:     host,
+		sentAt:   now,
+		services: setOf(services),
+	}
 	for i := range e.shards {
 		s := &e.shards[i]
-		if wanted[s.service] {
+		if d.services[s.service] {
 			s.delegated = true
 			s.pending++
 			s.hedgeAt = e.deadline
 		}
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), e.deadline)
-	d := &delegation{
-		host:    host,
-		sentAt:  now,
-		cancel:  cancel,
-		results: make(chan delegationResult, 1),
+	if e.delegationResults == nil {
+		e.delegationResults = make(chan delegationResult, len(e.shards))
 	}
+	results := e.delegationResults
+	ctx, cancel := context.WithDeadline(context.Background(), e.deadline)
+	d.cancel = cancel
 	d.group.Go(func() error {
 		gathered, err := e.relay.options.Peers.Gather(ctx, host, e.message, task, e.relay.delegates.roundTrip())
 		if err == nil && len(gathered.Signatures)+len(gathered.Missing) != len(services) {
 			err = errors.Errorf("%d replies and %d missing of %d services", len(gathered.Signatures), len(gathered.Missing), len(services))
 		}
-		d.results <- delegationResult{
-			gathered: gathered,
-			err:      err,
+		results <- delegationResult{
+			delegation: d,
+			gathered:   gathered,
+			err:        err,
 		}
 		return nil
 	})
-	e.delegation = d
+	e.delegations = append(e.delegations, d)
 	e.relay.options.Meter.CountCall(reasonDelegated, true)
 	e.step(trace.Step{
 		What:   reasonDelegated,
@@ -120,34 +129,27 @@
 	})
 }
 
-// delegationResults returns the channel of the delegation's result, or nil if none is in progress.
-func (e *execution) delegationResults() <-chan delegationResult {
-	if e.delegation == nil || e.delegation.ended {
-		return nil
-	}
-	return e.delegation.results
-}
-
-// handleDelegation handles the delegation's result. Shards that are missing in it are called directly only if no server
+// handleDelegation handles a delegation's result. Shards that are missing in it are called directly only if no server
 // executed the message for them: calling another server could exceed the attempts of the route. The retry budget counts
 // such a call as ordinary work only if the peer host called no server at all; otherwise that host has counted it.
 func (e *execution) handleDelegation(r delegationResult) {
-	e.delegation.ended = true
+	d := r.delegation
+	d.ended = true
 	if r.err != nil {
-		e.relay.delegates.recordFailure(e.delegation.host.ID, time.Now())
-		e.relay.options.Journal.Record("relay", e.message.ID, "not answered by host "+e.delegation.host.ID, r.err.Error())
+		e.relay.delegates.recordFailure(d.host.ID, time.Now())
+		e.relay.options.Journal.Record("relay", e.message.ID, "not answered by host "+d.host.ID, r.err.Error())
 		r.gathered = GatherResult{}
 	} else {
-		e.peerResult = &r.gathered
-		e.relay.delegates.recordSuccess(e.delegation.host.ID)
-		e.relay.delegates.observeRoundTrip(time.Since(e.delegation.sentAt) - r.gathered.Elapsed)
-		e.recordLateDelegation()
+		d.gathered = &r.gathered
+		e.relay.delegates.recordSuccess(d.host.ID)
+		e.relay.delegates.observeRoundTrip(time.Since(d.sentAt) - r.gathered.Elapsed)
+		e.recordLateDelegation(d)
 	}
 	noneExecuted := errors.Is(r.err, ErrNotExecuted)
 	missing, notExecuted := setOf(r.gathered.Missing), setOf(r.gathered.NotExecuted)
 	for i := range e.shards {
 		s := &e.shards[i]
-		if !s.delegated {
+		if !d.services[s.service] {
 			continue
 		}
 		s.pending--
@@ -158,7 +160,7 @@
 			e.send(i, reasonFirst)
 		case r.err != nil || missing[s.service]:
 			s.ran++
-			e.giveUp(i, "no reply gathered by host "+e.delegation.host.ID)
+			e.giveUp(i, "no reply gathered by host "+d.host.ID)
 		default:
 			s.ran++
 			e.completeShard(i)
@@ -167,49 +169,51 @@
 }
 
 // recordLateDelegation adds a trace step for a result that is late or lacks shards.
-func (e *execution) recordLateDelegation() {
-	if len(e.peerResult.Missing) == 0 && !e.halfObjectivePassed(time.Now()) {
+func (e *execution) recordLateDelegation(d *delegation) {
+	if len(d.gathered.Missing) == 0 && !e.halfObjectivePassed(time.Now()) {
 		return
 	}
 	e.step(trace.Step{
 		What:   "late bundle",
-		Server: e.delegation.host.ID,
-		Detail: "missing: " + strings.Join(e.peerResult.Missing, " "),
+		Server: d.host.ID,
+		Detail: "missing: " + strings.Join(d.gathered.Missing, " "),
 	})
 }
 
-// endDelegation ends the call to the peer host. If no result came and the caller has not disconnected, the host is put
-// into backoff.
-func (e *execution) endDelegation() {
-	d := e.delegation
-	if d == nil {
-		return
+// endDelegations ends the calls to peer hosts. A host from which no result came is put into backoff, unless the caller has
+// disconnected.
+func (e *execution) endDelegations() {
+	for _, d := range e.delegations {
+		if !d.ended && !e.aborted {
+			e.markOverdue(d)
+		}
+		d.cancel()
 	}
-	if !d.ended && !e.aborted {
-		e.markOverdue()
+	for _, d := range e.delegations {
+		_ = d.group.Wait()
 	}
-	d.cancel()
-	_ = d.group.Wait()
 }
 
-// checkOverdue marks a delegation without a result as overdue from partialAfter on, so that other searches avoid the peer
-// host: it should have returned the replies that it had by then.
+// checkOverdue marks delegations without a result as overdue from partialAfter on, so that other searches avoid their
+// hosts: these should have returned the replies that they had by then.
 func (e *execution) checkOverdue(now time.Time) {
-	if e.delegation != nil && !e.delegation.ended && !now.Before(e.partialAfter) {
-		e.markOverdue()
+	for _, d := range e.delegations {
+		if !d.ended && !now.Before(e.partialAfter) {
+			e.markOverdue(d)
+		}
 	}
 }
 
 // markOverdue puts the peer host into backoff, once for each delegation.
-func (e *execution) markOverdue() {
-	if e.delegation.overdue {
+func (e *execution) markOverdue(d *delegation) {
+	if d.overdue {
 		return
 	}
-	e.delegation.overdue = true
-	e.relay.delegates.recordFailure(e.delegation.host.ID, time.Now())
+	d.overdue = true
+	e.relay.delegates.recordFailure(d.host.ID, time.Now())
 	e.step(trace.Step{
 		What:   "no answer yet",
-		Server: e.delegation.host.ID,
+		Server: d.host.ID,
 	})
 }
 
--- a/core/relay/execution.go
+++ b/core/relay/execution.go
@@ -79,9 +79,10 @@
 	// forPeer is set when this host gathers some shards of a set for another host; setSize is the size of the whole set.
 	forPeer bool
 	setSize int
-	// delegation is what another host gathers for this execution; peerResult is what that host returned.
-	delegation *delegation
-	peerResult *GatherResult
+	// delegations are what other hosts gather for this execution; their results arrive on delegationResults, which is nil if
+	// there are none.
+	delegations       []*delegation
+	delegationResults chan delegationResult
 }
 
 // newExecution returns the state of a message for the matched route, with one shard for each of the services.
@@ -120,15 +121,19 @@
 	if err := e.checkReachable(); err != nil {
 		return nil, err
 	}
+	if err := e.checkAdmitted(); err != nil {
+		return nil, err
+	}
 	defer e.cancelCalls()
 	e.collect()
+	e.recordAdmission(time.Now())
 	return e.buildAnswer()
 }
 
 // collect sends the calls and handles their results until every shard is resolved, the minimum coverage is reached
-// after partialAfter, the caller disconnects or the deadline passes.
+// after partialAfter, it can't be reached any more, the caller disconnects or the deadline passes.
 func (e *execution) collect() {
-	defer e.endDelegation()
+	defer e.endDelegations()
 	now := time.Now()
 	e.relay.options.Picker.Earn(len(e.shards))
 	e.delegate(now)
@@ -139,11 +144,11 @@
 	}
 	wakeTimer := time.NewTimer(time.Until(e.nextWake()))
 	defer wakeTimer.Stop()
-	for e.unresolved > 0 && !e.aborted && !e.partialDue() {
+	for e.unresolved > 0 && !e.aborted && !e.partialDue() && !e.hopeless() {
 		select {
 		case c := <-e.completions:
 			e.handleCompletion(c)
-		case r := <-e.delegationResults():
+		case r := <-e.delegationResults:
 			e.handleDelegation(r)
 		case <-e.disconnected:
 			e.aborted = true
--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -34,7 +34,7 @@
 		}
 		t := e.relay.table.Load()
 		server, ok := e.relay.options.Picker.Pick(e.candidates(t, s, now))
-		if !ok || !e.relay.admit(t, server.ID, now) || !e.relay.spendRetryBudget(s.service) {
+		if !ok || !e.relay.admit(t, server.ID, now) || !e.relay.spendHedgeBudget(s.service) {
 			s.hedgeAt = now.Add(minHedgeDelay)
 			continue
 		}
@@ -51,7 +51,7 @@
 	}
 	t := e.relay.table.Load()
 	server, ok := e.relay.options.Picker.PickMirror(e.candidates(t, s, now), s.tried[0])
-	if ok && e.relay.admit(t, server.ID, now) && e.relay.spendRetryBudget(s.service) {
+	if ok && e.relay.admit(t, server.ID, now) && e.relay.spendHedgeBudget(s.service) {
 		e.sendTo(i, server, reasonMirror, now)
 	}
 }
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -13,6 +13,7 @@
 	"magnoliaworks/core/pool"
 	"magnoliaworks/core/query"
 	"magnoliaworks/core/route"
+	"magnoliaworks/core/shed"
 	"magnoliaworks/core/topo"
 	"magnoliaworks/core/trace"
 )
@@ -81,6 +82,7 @@
 	// delegates chooses the hosts that gather for this one.
 	delegates  *delegates
 	inProgress atomic.Int64
+	losses     shed.Losses
 	// succeeded counts the messages answered completely and in time; logRate bounds the messages that are logged.
 	succeeded     atomic.Uint64
 	logRate       limit.Rate
@@ -88,6 +90,8 @@
 	retryBudgets  map[string]*limit.WindowBudget
 	warmupRates   map[string]*limit.Rate
 	splitCounters map[string]*atomic.Uint64
+	// admissions holds the admission of each route to a shard set, by the name of the route.
+	admissions map[string]*shed.Admission
 }
 
 // New returns a relay with the options.
@@ -98,6 +102,7 @@
 		retryBudgets:  make(map[string]*limit.WindowBudget),
 		warmupRates:   make(map[string]*limit.Rate),
 		splitCounters: make(map[string]*atomic.Uint64),
+		admissions:    make(map[string]*shed.Admission),
 	}
 	r.table.Store(newTable(options.State.Load(), options.Self))
 	return r
--- a/core/relay/table.go
+++ b/core/relay/table.go
@@ -71,6 +71,48 @@
 	return missing
 }
 
+// part is a number of services that have servers in the data centre of a host.
+type part struct {
+	host     member.Member
+	services []string
+}
+
+// partition divides services among hosts of different data centres: the first part holds all those with a server in the
+// data centre that has most of them, the next one those of the rest, and so on. Of equal data centres, that of the host that
+// comes first is taken. Services without a server in any of them are left out.
+func (t *table) partition(services []string, hosts []member.Member) []part {
+	var parts []part
+	for len(services) > 0 {
+		best := part{}
+		for _, host := range hosts {
+			candidate := part{
+				host:     host,
+				services: t.servicesWith(services, host.DataCentre),
+			}
+			if len(candidate.services) > len(best.services) {
+				best = candidate
+			}
+		}
+		if len(best.services) == 0 {
+			break
+		}
+		parts = append(parts, best)
+		services = t.servicesWithout(services, best.host.DataCentre)
+	}
+	return parts
+}
+
+// servicesWith returns the services with a server in a data centre.
+func (t *table) servicesWith(services []string, dataCentre string) []string {
+	var found []string
+	for _, service := range services {
+		if t.hasServer(service, dataCentre) {
+			found = append(found, service)
+		}
+	}
+	return found
+}
+
 func (t *table) hasServer(service, dataCentre string) bool {
 	for _, s := range t.replicas[service] {
 		if s.DataCentre == dataCentre {
@@ -104,12 +146,21 @@
 	usableWarmupRate = 0.8
 )
 
-// spendRetryBudget charges one retry, hedge or mirrored call to this host's share of the fleet's budget for a service.
-// It reports whether the budget permits the call.
-func (r *Relay) spendRetryBudget(service string) bool {
+// spendRetryBudget charges one retry to this host's share of the fleet's budget for a service. It reports whether the budget
+// permits the call.
+func (r *Relay) spendRetryBudget(service string) bool { return r.spendBudget(service, 1) }
+
+// spendHedgeBudget charges one hedge or mirrored call, which may use a part of that budget only while servers lose replies.
+func (r *Relay) spendHedgeBudget(service string) bool {
+	return r.spendBudget(service, r.losses.HedgePart(time.Now()))
+}
+
+// spendBudget charges one call if the calls charged so far are below a part of this host's budget for a service.
+func (r *Relay) spendBudget(service string, part float64) bool {
 	b := r.options.Bounds()
 	hosts := float64(max(r.options.Membership.HostCount(), 1))
-	return r.retryBudget(service).TryExtra(time.Now(), usableRetryBudget*b.RetryShare, usableRetryBudget*b.RetrySlack/hosts)
+	part *= usableRetryBudget
+	return r.retryBudget(service).TryExtra(time.Now(), part*b.RetryShare, part*b.RetrySlack/hosts)
 }
 
 // canAdmit reports whether this host may send a call to a server now; only cold servers have a limit.
@@ -164,7 +215,7 @@
 	return rate
 }
 
-// prune drops the budgets and rates of services and servers that are gone.
+// prune drops the budgets, rates and admissions of services, servers and routes that are gone.
 func (r *Relay) prune(t *table) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -182,4 +233,9 @@
 			delete(r.retryBudgets, name)
 		}
 	}
+	for name := range r.admissions {
+		if !config.HasRoute(name) {
+			delete(r.admissions, name)
+		}
+	}
 }
--- /dev/null
+++ b/core/shed/search.go
@@ -0,0 +1,23 @@
+// Package shed decides what is not done under load: which searches are refused at their arrival and when their callers may
+// return, which have become hopeless, and what hedges leave to retries. It does no I/O; times and random numbers are passed
+// in.
+package shed
+
+import "time"
+
+// Hopeless reports whether a search can't reach its minimum coverage any more: lost shards have no reply and get no further
+// call. What it would still do takes capacity from searches that can be answered.
+func Hopeless(shards, lost int, minCoverage float64) bool {
+	return float64(shards-lost) < minCoverage*float64(shards)
+}
+
+// maxRetryAfter is the longest advised delay before a retry.
+const maxRetryAfter = time.Second
+
+// RetryAfter returns the advised delay before a search that was refused for load is sent again. It grows as the share of
+// searches that are started falls, which tells the backlog, and is spread by random, a number between 0 and 1, so that
+// callers do not return together.
+func RetryAfter(least time.Duration, share, random float64) time.Duration {
+	delay := float64(least) / max(share, minShare) * (0.5 + random)
+	return min(max(time.Duration(delay), least), maxRetryAfter)
+}
--- a/core/topo/config.go
+++ b/core/topo/config.go
@@ -57,6 +57,18 @@
 	return c
 }
 
+// HasRoute reports whether there is a route of that name.
+func (c *Config) HasRoute(name string) bool {
+	for _, routes := range c.routesByHost {
+		for _, r := range routes {
+			if r.Name == name {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Match returns the route for a Host header and a path: the one of that host with the longest prefix of the path.
 // ok is false if there is none.
 func (c *Config) Match(host, path string) (r *Route, ok bool) {
--- a/core/watch/compare.go
+++ b/core/watch/compare.go
@@ -114,7 +114,8 @@
 // compareAtStart lets a starting host take over what other hosts know before its own state is published: a stale list or
 // the feed of a host that has lost the store may be older than what the fleet has in force. It ends when a host that has
 // compared its own objects has answered, or comparedHosts others have, or after compareLimit. While no such host has
-// answered, all may have started together: each then lists the store first and fetches only what its list lacks.
+// answered, all may have started together and have nothing in force: each then lists the store, and the watchers bring what
+// the lists lack. To fetch that from each other would take longer than a list.
 func (w *Watcher) compareAtStart(ctx context.Context) error {
 	began, answers, compared := time.Now(), 0, false
 	asked := make(map[string]bool)
@@ -124,12 +125,11 @@
 		if round.answers > 0 && round.newest == (Revisions{}) {
 			w.listEarly.Store(true)
 		}
-		if behind := round.newest.Newer(w.known()); behind && (round.compared || w.allRevisionsKnown()) {
-			compared = w.fetch(ctx, round.source)
+		if round.compared && round.newest.Newer(w.known()) {
+			compared = w.fetch(ctx, round.source) && w.allRevisionsKnown()
 		} else {
-			compared = !behind
+			compared = w.allRevisionsKnown() && (round.compared || answers >= comparedHosts)
 		}
-		compared = compared && w.allRevisionsKnown() && (round.compared || answers >= comparedHosts)
 		if !compared {
 			_ = timer.Sleep(ctx, comparePeriod)
 		}
