Ask hosts at the start without waiting for those that do not answer

Each round of three comparisons waited 300 ms for hosts that were still down; four rounds passed. Change: answers are handled as they come; a host that has listed the store waits 0.4 s at most.

--- a/core/watch/compare.go
+++ b/core/watch/compare.go
@@ -4,24 +4,25 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"magnoliaworks/core/member"
-	"magnoliaworks/core/timer"
 )
 
 const (
 	// comparedHosts is the number of hosts whose answers a starting host waits for, unless a host answers that has
 	// compared its own objects before.
 	comparedHosts = 3
-	// compareLimit is the longest time for which a starting host waits for those answers.
-	compareLimit = 2 * time.Second
-	// comparePeriod is the time between two rounds of comparisons at the start, and between two looks for other hosts while
-	// none is known.
-	comparePeriod = 50 * time.Millisecond
+	// compareLimit is the longest time for which a starting host that has listed the store waits for those answers, and
+	// unlistedLimit that for which it waits while the store can't be listed.
+	compareLimit  = 400 * time.Millisecond
+	unlistedLimit = 2 * time.Second
+	// comparePeriod is the time after which a starting host asks further hosts, and lookPeriod that after which it looks for
+	// hosts again while it knows none to ask.
+	comparePeriod = 100 * time.Millisecond
+	lookPeriod    = 10 * time.Millisecond
 	// compareTimeout is the timeout of one comparison, and fetchTimeout that of the transfer of a host's objects.
 	compareTimeout = 300 * time.Millisecond
 	fetchTimeout   = time.Second
@@ -113,101 +114,133 @@
 
 // compareAtStart lets a starting host take over what other hosts know before its own state is published: a stale list or
 // the feed of a host that has lost the store may be older than what the fleet has in force. It ends when a host that has
-// compared its own objects has answered, or comparedHosts others have, or after compareLimit. While no such host has
-// answered, all may have started together and have nothing in force: each then lists the store, and the watchers bring what
-// the lists lack. To fetch that from each other would take longer than a list.
+// compared its own objects has answered, or comparedHosts others have, or no more than compareLimit after the store was
+// listed. While no such host has answered, all may have started together and have nothing in force: each then lists the
+// store, and the watchers bring what the lists lack. To fetch that from each other would take longer than a list.
 func (w *Watcher) compareAtStart(ctx context.Context) error {
-	began, answers, compared := time.Now(), 0, false
-	asked := make(map[string]bool)
-	for ctx.Err() == nil && !compared && time.Since(began) < compareLimit {
-		round := w.compareWith(ctx, w.nextCompared(asked))
-		answers += round.answers
-		if round.answers > 0 && round.newest == (Revisions{}) {
-			w.listEarly.Store(true)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s := startComparison{
+		watcher: w,
+		asked:   make(map[string]bool),
+		answers: make(chan answer),
+		began:   time.Now(),
+	}
+	var group errgroup.Group
+	for ctx.Err() == nil && !s.done(time.Now()) {
+		hosts := s.next()
+		for _, host := range hosts {
+			group.Go(func() error {
+				s.ask(ctx, host)
+				return nil
+			})
 		}
-		if round.compared && round.newest.Newer(w.known()) {
-			compared = w.fetch(ctx, round.source) && w.allRevisionsKnown()
+		if len(hosts) > 0 {
+			s.handleAnswers(ctx, comparePeriod)
 		} else {
-			compared = w.allRevisionsKnown() && (round.compared || answers >= comparedHosts)
+			s.handleAnswers(ctx, lookPeriod)
 		}
-		if !compared {
-			_ = timer.Sleep(ctx, comparePeriod)
+	}
+	w.start(fmt.Sprintf("%d hosts answered within %d ms", s.answered, time.Since(s.began).Milliseconds()))
+	cancel()
+	return group.Wait()
+}
+
+// startComparison is the comparison of a starting host with others. One goroutine owns it; others send to answers.
+type startComparison struct {
+	watcher *Watcher
+	asked   map[string]bool
+	answers chan answer
+	began   time.Time
+	// listedAt is the time at which all kinds were known; zero until then.
+	listedAt time.Time
+	// answered is the number of hosts that answered, and current is set when this host knows what one of them knows that has
+	// compared its own objects.
+	answered int
+	current  bool
+}
+
+// answer is the answer of a host.
+type answer struct {
+	host       member.Member
+	comparison Comparison
+}
+
+// done reports whether the host may publish its state.
+func (s *startComparison) done(now time.Time) bool {
+	switch {
+	case !s.watcher.allRevisionsKnown():
+		return now.Sub(s.began) > unlistedLimit
+	case s.listedAt.IsZero():
+		s.listedAt = now
+	}
+	return s.current || s.answered >= comparedHosts || now.Sub(s.listedAt) > compareLimit
+}
+
+// ask sends the comparison to a host and passes on its answer. Objects are not transferred, since all hosts may have started
+// with this one and know the same.
+func (s *startComparison) ask(ctx context.Context, host member.Member) {
+	callCtx, cancel := context.WithTimeout(ctx, compareTimeout)
+	defer cancel()
+	c, err := s.watcher.peers.Compare(callCtx, host, s.watcher.known(), false)
+	if err != nil {
+		return
+	}
+	select {
+	case s.answers <- answer{host: host, comparison: c}:
+	case <-ctx.Done():
+	}
+}
+
+// handleAnswers handles answers for a period, or until the host may publish its state.
+func (s *startComparison) handleAnswers(ctx context.Context, period time.Duration) {
+	wait := time.NewTimer(period)
+	defer wait.Stop()
+	for !s.done(time.Now()) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-wait.C:
+			return
+		case a := <-s.answers:
+			s.handle(ctx, a)
 		}
 	}
-	w.start(fmt.Sprintf("%d hosts answered within %d ms", answers, time.Since(began).Milliseconds()))
-	return nil
 }
 
-// nextCompared returns up to comparedHosts available hosts that were not asked before, those of this data centre first,
-// and adds them to asked. Once all were asked it starts over.
-func (w *Watcher) nextCompared(asked map[string]bool) []member.Member {
-	hosts := w.membership.Others()
+// handle takes over the objects of a host that has compared its own and knows newer ones.
+func (s *startComparison) handle(ctx context.Context, a answer) {
+	s.answered++
+	switch {
+	case a.comparison.Compared && a.comparison.Newest.Newer(s.watcher.known()):
+		s.current = s.watcher.fetch(ctx, a.host)
+	case a.comparison.Compared:
+		s.current = true
+	case a.comparison.Newest == (Revisions{}):
+		s.watcher.listEarly.Store(true)
+	}
+}
+
+// next returns up to comparedHosts available hosts that were not asked before, those of this data centre first, and adds
+// them to asked. Once all were asked it starts over.
+func (s *startComparison) next() []member.Member {
+	hosts := s.watcher.membership.Others()
 	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	var next []member.Member
 	for _, local := range []bool{true, false} {
 		for _, m := range hosts {
-			if (m.DataCentre == w.dataCentre) == local && !asked[m.ID] && len(next) < comparedHosts {
-				asked[m.ID] = true
+			if (m.DataCentre == s.watcher.dataCentre) == local && !s.asked[m.ID] && len(next) < comparedHosts {
+				s.asked[m.ID] = true
 				next = append(next, m)
 			}
 		}
 	}
 	if len(next) == 0 {
-		clear(asked)
+		clear(s.asked)
 	}
 	return next
 }
 
-// round is the result of comparisons with several hosts.
-type round struct {
-	// answers is the number of hosts that answered; compared is set when one of them has compared its own objects before.
-	answers  int
-	compared bool
-	// newest holds the newest revisions that they know, and source is the host that knows the newest configuration, or
-	// among those that know the same one the newest servers.
-	newest Revisions
-	source member.Member
-}
-
-// compareWith compares what this host knows with what others know. Their objects are not transferred, since all of them may
-// have started with this host and know the same.
-func (w *Watcher) compareWith(ctx context.Context, hosts []member.Member) round {
-	type answer struct {
-		host       member.Member
-		comparison Comparison
-	}
-	answers := make(chan answer, len(hosts))
-	var group errgroup.Group
-	for _, host := range hosts {
-		group.Go(func() error {
-			callCtx, cancel := context.WithTimeout(ctx, compareTimeout)
-			defer cancel()
-			if c, err := w.peers.Compare(callCtx, host, w.known(), false); err == nil {
-				answers <- answer{
-					host:       host,
-					comparison: c,
-				}
-			}
-			return nil
-		})
-	}
-	_ = group.Wait()
-	close(answers)
-	var r round
-	var best Revisions
-	for a := range answers {
-		r.answers++
-		r.compared = r.compared || a.comparison.Compared
-		for kind, revision := range a.comparison.Newest {
-			r.newest[kind] = max(r.newest[kind], revision)
-		}
-		if slices.Compare(a.comparison.Newest[:], best[:]) > 0 {
-			best, r.source = a.comparison.Newest, a.host
-		}
-	}
-	return r
-}
-
 // fetch applies the objects of another host that are newer than this host's. It reports whether the host answered.
 func (w *Watcher) fetch(ctx context.Context, host member.Member) bool {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
