Advise callers of a starting host to return when it usually serves

Change: the advised delay is what is left of 0.6 s since the start, spread, and a second after that.

--- a/core/relay/coverage.go
+++ b/core/relay/coverage.go
@@ -29,7 +29,7 @@
 	}
 	return query.NotRun{
 		Reason:     fmt.Sprintf("%d of %d shards have a server, the minimum coverage is %g", reachable, len(target.Services), target.MinCoverage),
-		RetryAfter: unreadyRetryAfter,
+		RetryAfter: shed.StartRetryAfter(time.Since(e.relay.started), rand.Float64()),
 	}
 }
 
--- a/core/relay/execution.go
+++ b/core/relay/execution.go
@@ -37,11 +37,8 @@
 	// cancelGrace is the time for which the connection of a cancelled call, such as the loser against a hedge, waits for the reply
 	// before it is closed.
 	cancelGrace = 400 * time.Millisecond
-	// overloadRetryAfter is the advised delay before a retry of a message that was refused because of load.
-	// unreadyRetryAfter is that of a message refused because this host lacks configuration or servers, which lasts for seconds;
-	// callers wait no longer than their timeout permits.
+	// overloadRetryAfter is the least advised delay before a retry of a message that was refused because of load.
 	overloadRetryAfter = 150 * time.Millisecond
-	unreadyRetryAfter  = time.Second
 )
 
 // Reasons for calls, as they appear in metrics and traces.
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,6 +83,7 @@
 	// delegates chooses the hosts that gather for this one.
 	delegates  *delegates
 	inProgress atomic.Int64
+	started    time.Time
 	losses     shed.Losses
 	// succeeded counts the messages answered completely and in time; logRate bounds the messages that are logged.
 	succeeded     atomic.Uint64
@@ -99,6 +101,7 @@
 	r := &Relay{
 		options:       options,
 		delegates:     newDelegates(options.Self),
+		started:       time.Now(),
 		retryBudgets:  make(map[string]*limit.WindowBudget),
 		warmupRates:   make(map[string]*limit.Rate),
 		splitCounters: make(map[string]*atomic.Uint64),
@@ -160,7 +163,7 @@
 	if config == nil {
 		return nil, query.NotRun{
 			Reason:     "no configuration received yet",
-			RetryAfter: unreadyRetryAfter,
+			RetryAfter: shed.StartRetryAfter(time.Since(r.started), rand.Float64()),
 		}
 	}
 	matched, ok := config.Match(m.Host, m.Path)
--- a/core/shed/admission_test.go
+++ b/core/shed/admission_test.go
@@ -60,6 +60,28 @@
 	})
 }
 
+// TestStartRetryAfterFollowsTheStart checks the advised delays of a host that lacks its configuration.
+func TestStartRetryAfterFollowsTheStart(t *testing.T) {
+	cases := []struct {
+		name        string
+		sinceStart  time.Duration
+		least, most time.Duration
+	}{
+		{name: "just started", least: usualStart, most: usualStart + minStartRetryAfter},
+		{name: "nearly ready", sinceStart: usualStart - time.Millisecond, least: minStartRetryAfter, most: 2 * minStartRetryAfter},
+		{name: "the store is away", sinceStart: 5 * time.Second, least: unreadyRetryAfter, most: unreadyRetryAfter},
+	}
+	for _, c := range cases {
+		Convey("Callers are to return when the host is likely to serve: "+c.name, t, func() {
+			for _, random := range []float64{0, 0.5, 1} {
+				delay := StartRetryAfter(c.sinceStart, random)
+				So(delay, ShouldBeGreaterThanOrEqualTo, c.least)
+				So(delay, ShouldBeLessThanOrEqualTo, c.most)
+			}
+		})
+	}
+}
+
 // TestHopeless checks at which number of lost shards a search ends.
 func TestHopeless(t *testing.T) {
 	cases := []struct {
--- a/core/shed/search.go
+++ b/core/shed/search.go
@@ -21,3 +21,22 @@
 	delay := float64(least) / max(share, minShare) * (0.5 + random)
 	return min(max(time.Duration(delay), least), maxRetryAfter)
 }
+
+const (
+	// usualStart is the time within which a host that starts has configuration and servers if others or the store answer.
+	usualStart = 600 * time.Millisecond
+	// unreadyRetryAfter is the advised delay once a host has lacked them for longer, which then lasts for seconds.
+	unreadyRetryAfter = time.Second
+	// minStartRetryAfter is the least advised delay while a host starts.
+	minStartRetryAfter = 100 * time.Millisecond
+)
+
+// StartRetryAfter returns the advised delay before a request that a host refused for lack of configuration or servers is sent
+// again, by the time since the host has started. After all hosts were killed together, callers are to return when these are
+// likely to serve again, and not at the same moment, which random, a number between 0 and 1, provides for.
+func StartRetryAfter(sinceStart time.Duration, random float64) time.Duration {
+	if sinceStart >= usualStart {
+		return unreadyRetryAfter
+	}
+	return max(usualStart-sinceStart, minStartRetryAfter) + time.Duration(random*float64(minStartRetryAfter))
+}
