Shorten the wait of starting hosts for each other

After the loss of all hosts the first ones waited 0.4 s for answers of others that were still down. Change: 0.12 s after the list, or after the start for a host that knows no other; the list begins after 0.05 s.

--- a/core/watch/compare.go
+++ b/core/watch/compare.go
@@ -17,7 +17,7 @@
 	comparedHosts = 3
 	// compareLimit is the longest time for which a starting host that has listed the store waits for those answers, and
 	// unlistedLimit that for which it waits while the store can't be listed.
-	compareLimit  = 400 * time.Millisecond
+	compareLimit  = 120 * time.Millisecond
 	unlistedLimit = 2 * time.Second
 	// comparePeriod is the time after which a starting host asks further hosts, and lookPeriod that after which it looks for
 	// hosts again while it knows none to ask.
@@ -166,7 +166,8 @@
 	comparison Comparison
 }
 
-// done reports whether the host may publish its state.
+// done reports whether the host may publish its state. A host that has listed the store and knows no other one waits for none
+// after compareLimit: it has started before the others.
 func (s *startComparison) done(now time.Time) bool {
 	switch {
 	case !s.watcher.allRevisionsKnown():
@@ -174,6 +175,9 @@
 	case s.listedAt.IsZero():
 		s.listedAt = now
 	}
+	if len(s.asked) == 0 {
+		return now.Sub(s.began) > compareLimit
+	}
 	return s.current || s.answered >= comparedHosts || now.Sub(s.listedAt) > compareLimit
 }
 
@@ -235,8 +239,9 @@
 			}
 		}
 	}
-	if len(next) == 0 {
+	if len(next) == 0 && len(hosts) > 0 {
 		clear(s.asked)
+		return s.next()
 	}
 	return next
 }
--- a/core/watch/watcher.go
+++ b/core/watch/watcher.go
@@ -34,7 +34,7 @@
 	// holdCheckPeriod is the time between two checks for held removals that are due, and for changes that are overdue.
 	holdCheckPeriod = 250 * time.Millisecond
 	// firstListDelay is the time for which a starting host waits for the state of other hosts before it lists the store.
-	firstListDelay = 80 * time.Millisecond
+	firstListDelay = 50 * time.Millisecond
 )
 
 // Watcher keeps a topo.State up to date, either by watching the store or by following the feeds of those hosts of its
