--- a/core/relay/coverage.go
+++ b/core/relay/coverage.go
@@ -8,7 +8,6 @@
 	"magnoliaworks/core/query"
 	"magnoliaworks/core/shed"
 	"magnoliaworks/core/topo"
-	"magnoliaworks/core/trace"
 )
 
 // checkReachable refuses a search for which too few shards have a server. Nothing has been sent at this point.
@@ -70,71 +69,3 @@
 	}
 	return false
 }
-
-// checkAdmitted refuses a share of the searches while servers reject calls. Nothing has been sent at this point.
-func (e *execution) checkAdmitted() error {
-	if _, ok := e.route.Target.(topo.ShardSet); !ok {
-		return nil
-	}
-	share := e.relay.admission(e.route.Name).Share(time.Now())
-	if share >= 1 || rand.Float64() < share {
-		return nil
-	}
-	e.step(trace.Step{
-		What:   "not admitted",
-		Detail: fmt.Sprintf("share %.2f", share),
-	})
-	return query.NotRun{
-		Reason:     fmt.Sprintf("servers reject calls, %.0f of 100 searches are started", 100*share),
-		RetryAfter: shed.RetryAfter(overloadRetryAfter, share, rand.Float64()),
-	}
-}
-
-// recordAdmission records whether a search reached its minimum coverage or failed since servers rejected calls.
-func (e *execution) recordAdmission(now time.Time) {
-	target, ok := e.route.Target.(topo.ShardSet)
-	if !ok {
-		return
-	}
-	switch admission := e.relay.admission(e.route.Name); {
-	case e.answered > 0 && e.hasMinCoverage():
-		admission.Answered(now)
-	case e.rejected() && e.outOfReach(target):
-		admission.Overloaded(now)
-	}
-}
-
-// retryAfter returns the advised delay before a message that was not executed is sent again.
-func (e *execution) retryAfter() time.Duration {
-	share := 1.0
-	if _, ok := e.route.Target.(topo.ShardSet); ok {
-		share = e.relay.admission(e.route.Name).Share(time.Now())
-	}
-	return shed.RetryAfter(overloadRetryAfter, share, rand.Float64())
-}
-
-// rejected reports whether most of the shards without a reply lack it since servers rejected the calls.
-func (e *execution) rejected() bool {
-	lost, rejected := 0, 0
-	for i := range e.shards {
-		if s := &e.shards[i]; s.resolved && !s.answered {
-			lost++
-			if s.rejected {
-				rejected++
-			}
-		}
-	}
-	return 2*rejected >= lost
-}
-
-// admission returns the admission of a route's searches.
-func (r *Relay) admission(route string) *shed.Admission {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	a, ok := r.admissions[route]
-	if !ok {
-		a = &shed.Admission{}
-		r.admissions[route] = a
-	}
-	return a
-}
