--- a/core/watch/apply.go
+++ b/core/watch/apply.go
@@ -17,17 +17,6 @@
 	w.applyNewer(kind, w.holdRemovals(kind, objects))
 }
 
-// applyPing applies the list of evacuations that a ping returned if it is newer than what is known, so that an evacuation
-// takes effect also while the watch hears nothing.
-func (w *Watcher) applyPing(list Changes) {
-	w.mu.Lock()
-	known := w.cache.revisions[Evacuations]
-	w.mu.Unlock()
-	if known > 0 && list.Revision > known {
-		w.applyList(Evacuations, list)
-	}
-}
-
 // applyChanges applies changes that a watch returned.
 func (w *Watcher) applyChanges(kind Kind, changes Changes) {
 	w.mu.Lock()
--- /dev/null
+++ b/core/watch/ping.go
@@ -0,0 +1,68 @@
+package watch
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// pingPeriod is the time between two pings of the store, and pingTimeout the time to wait for the answer to one.
+	pingPeriod  = time.Second
+	pingTimeout = 900 * time.Millisecond
+)
+
+// pingLoop pings the store at regular intervals while this host watches it. After an outage, all watches are cancelled,
+// since they may wait on connections that return nothing any more.
+func (w *Watcher) pingLoop(ctx context.Context) error {
+	ticks := w.timer.Subscribe(ctx, pingPeriod)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticks:
+		}
+		if !w.watchesStore() {
+			w.sourceDown.Store(false)
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
+		evacuations, err := w.source.Ping(callCtx)
+		cancel()
+		if ctx.Err() == nil {
+			w.handlePing(err)
+			w.applyPing(evacuations)
+		}
+	}
+}
+
+// handlePing records whether the store answers. A failure extends the time for which removals are held; the first
+// answer after an outage cancels all watches.
+func (w *Watcher) handlePing(err error) {
+	wasDown := w.sourceDown.Swap(err != nil)
+	if err != nil {
+		w.extendHold()
+		if !wasDown {
+			w.journal.Record("follow", "store", "lost", err.Error())
+		}
+		return
+	}
+	if wasDown {
+		w.journal.Record("follow", "store", "regained", "the store answers again")
+		for k := range w.watchCancels {
+			if cancel := w.watchCancels[k].Load(); cancel != nil {
+				(*cancel)()
+			}
+		}
+	}
+}
+
+// applyPing applies the list of evacuations that a ping returned if it is newer than what is known, so that an evacuation
+// takes effect also while the watch hears nothing.
+func (w *Watcher) applyPing(list Changes) {
+	w.mu.Lock()
+	known := w.cache.revisions[Evacuations]
+	w.mu.Unlock()
+	if known > 0 && list.Revision > known {
+		w.applyList(Evacuations, list)
+	}
+}
--- a/core/watch/watcher.go
+++ b/core/watch/watcher.go
@@ -25,9 +25,6 @@
 	// in one reply, each of which takes effect later by up to this time. The same pause follows a watch that returned
 	// no changes in less than this time.
 	watchPause = 400 * time.Millisecond
-	// pingPeriod is the time between two pings of the store, and pingTimeout the time to wait for the answer to one.
-	pingPeriod  = time.Second
-	pingTimeout = 900 * time.Millisecond
 	// reregisterTime is the time after an outage of the store within which servers register again whose registrations
 	// expired during the outage.
 	reregisterTime = 2500 * time.Millisecond
@@ -213,51 +210,6 @@
 	w.cache.revisions[kind] = 0
 }
 
-// pingLoop pings the store at regular intervals while this host watches it. After an outage, all watches are cancelled,
-// since they may wait on connections that return nothing any more.
-func (w *Watcher) pingLoop(ctx context.Context) error {
-	ticks := w.timer.Subscribe(ctx, pingPeriod)
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticks:
-		}
-		if !w.watchesStore() {
-			w.sourceDown.Store(false)
-			continue
-		}
-		callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
-		evacuations, err := w.source.Ping(callCtx)
-		cancel()
-		if ctx.Err() == nil {
-			w.handlePing(err)
-			w.applyPing(evacuations)
-		}
-	}
-}
-
-// handlePing records whether the store answers. A failure extends the time for which removals are held; the first
-// answer after an outage cancels all watches.
-func (w *Watcher) handlePing(err error) {
-	wasDown := w.sourceDown.Swap(err != nil)
-	if err != nil {
-		w.extendHold()
-		if !wasDown {
-			w.journal.Record("follow", "store", "lost", err.Error())
-		}
-		return
-	}
-	if wasDown {
-		w.journal.Record("follow", "store", "regained", "the store answers again")
-		for k := range w.watchCancels {
-			if cancel := w.watchCancels[k].Load(); cancel != nil {
-				(*cancel)()
-			}
-		}
-	}
-}
-
 // extendHold holds removals until servers have had time to register again, and wakes waiting feeds so that they fail.
 func (w *Watcher) extendHold() {
 	w.mu.Lock()
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -293,14 +293,3 @@
 	}
 	return objects, nil
 }
-
-// Ask runs an operator's read-only command on another host and returns its output.
-func (c *Client) Ask(ctx context.Context, to member.Member, command string) (string, error) {
-	reply, err := c.controlClient(to.Address).Ask(ctx, newRequest(&frame.AskRequest{
-		Command: command,
-	}))
-	if err != nil {
-		return "", errors.Wrapf(err, "ask host %s", to.ID)
-	}
-	return reply.Msg.GetText(), nil
-}
--- a/io/peer/service.go
+++ b/io/peer/service.go
@@ -111,17 +111,6 @@
 	return connect.NewResponse(reply), nil
 }
 
-// Ask implements frame.PeerHandler.
-func (s *Service) Ask(ctx context.Context, request *connect.Request[frame.AskRequest]) (*connect.Response[frame.AskReply], error) {
-	text, err := s.answerer.Answer(ctx, request.Msg.GetCommand())
-	if err != nil {
-		return nil, connect.NewError(connect.CodeInvalidArgument, err)
-	}
-	return connect.NewResponse(&frame.AskReply{
-		Text: text,
-	}), nil
-}
-
 // Exchange implements frame.PeerHandler.
 func (s *Service) Exchange(ctx context.Context, stream *connect.BidiStream[frame.Request, frame.Reply]) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/stand/site/server.go
+++ b/stand/site/server.go
@@ -273,22 +273,6 @@
 	return true
 }
 
-// endlessChunk is the number of bytes that writeEndlessly sends at a time, one chunk each millisecond.
-const endlessChunk = 16 << 10
-
-// writeEndlessly sends bytes until the connection is closed, and records how many were sent. It returns false.
-func (s *Server) writeEndlessly(c net.Conn, start, chunk string) bool {
-	sent, err := c.Write([]byte(start))
-	for err == nil {
-		var n int
-		n, err = c.Write([]byte(chunk))
-		sent += n
-		time.Sleep(time.Millisecond)
-	}
-	s.Set(func(s *Server) { s.mostEndlessBytes = max(s.mostEndlessBytes, sent) })
-	return false
-}
-
 // write sends a response with additional header fields and reports whether that succeeded.
 func (s *Server) write(c net.Conn, id string, status int, fields string, body []byte) bool {
 	_, err := c.Write([]byte("HTTP/1.1 " + strconv.Itoa(status) + " Status\r\nX-Request-Id: " + id + "\r\n" + fields +
