Do not overstate what a list knows

A host claimed to know all up to its newest object; a list of several pages has newer objects on later pages and lacks changes on its first, and an update that leaves out what the receiver knows never brings these. Change: a host claims the revision of its list or feed, and that of a list is the oldest of its pages. Measured: TestListsDoNotOverstateWhatIsKnown: 14 claimed, 10 known before.

--- a/core/watch/compare.go
+++ b/core/watch/compare.go
@@ -87,7 +87,7 @@
 func (w *Watcher) RecordAnnouncement(host member.Member, newest Revisions) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.lag != nil || !w.started || !newest.Newer(w.cache.known()) {
+	if w.lag != nil || !w.started || !newest.Newer(w.cache.revisions) {
 		return
 	}
 	w.lag = &lag{
@@ -104,7 +104,7 @@
 	if w.lag == nil {
 		return lag{}, false
 	}
-	current, behind := *w.lag, w.lag.newest.Newer(w.cache.known())
+	current, behind := *w.lag, w.lag.newest.Newer(w.cache.revisions)
 	ok = behind && now.Sub(current.since) > maxLag
 	if ok || !behind {
 		w.lag = nil
@@ -264,9 +264,10 @@
 	return true
 }
 
-// known returns the revisions up to which this host knows each kind.
+// known returns the revisions up to which this host knows each kind; 0 while a list is needed. Single objects may be newer:
+// a list of several pages has newer ones on its later pages, and lacks changes on its first.
 func (w *Watcher) known() Revisions {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.cache.known()
+	return w.cache.revisions
 }
--- a/core/watch/feed_test.go
+++ b/core/watch/feed_test.go
@@ -5,7 +5,12 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 	. "github.com/smartystreets/goconvey/convey"
+
+	"magnoliaworks/core/topo"
+	"magnoliaworks/core/trace"
 )
 
 // TestFeedIsFullAfterExpiredRemovals asks for the changes after a position that is older than a removal which is no longer
@@ -42,3 +47,41 @@
 		})
 	}
 }
+
+// TestListsDoNotOverstateWhatIsKnown applies a list whose later pages hold a newer change than its first, which lacks one made
+// before it. An update that left out what is older than the newest object would never bring the missing change.
+func TestListsDoNotOverstateWhatIsKnown(t *testing.T) {
+	Convey("The host knows the kind up to the revision of the list, and a full update brings the missing change", t, func() {
+		w := &Watcher{
+			cache:   newObjectCache(),
+			changed: make(chan struct{}),
+			state:   topo.NewCurrent(),
+			decoder: noDecoder{},
+			journal: trace.NewJournal(hclog.NewNullLogger()),
+			held:    make(map[string]heldRemoval),
+
+			registrations: make(map[string]Registration),
+		}
+		w.applyList(Servers, Changes{
+			Revision: 10,
+			Objects:  []Object{{Name: "first", Revision: 5}, {Name: "last", Revision: 14}},
+		})
+		So(w.known()[Servers], ShouldEqual, 10)
+		w.applyUpdate(Update{
+			Full:      true,
+			Objects:   [kindCount][]Object{Servers: {{Name: "first", Revision: 12, Value: []byte("drains")}, {Name: "last", Revision: 14}}},
+			Revisions: Revisions{Servers: 20},
+			After:     w.known(),
+		})
+		So(string(w.cache.entries[Servers]["first"].object.Value), ShouldEqual, "drains")
+	})
+}
+
+// noDecoder decodes nothing.
+type noDecoder struct{}
+
+func (noDecoder) Config([]byte) (*topo.Config, error) { return nil, errors.New("no configuration") }
+
+func (noDecoder) Server(string, []byte, time.Time) (Registration, error) {
+	return Registration{}, errors.New("no registration")
+}
--- a/core/watch/objectcache.go
+++ b/core/watch/objectcache.go
@@ -50,15 +50,6 @@
 	}
 }
 
-// known returns the revisions up to which each kind is known, also while a list is needed.
-func (c *objectCache) known() Revisions {
-	known := c.newest
-	for kind, revision := range c.revisions {
-		known[kind] = max(known[kind], revision)
-	}
-	return known
-}
-
 // removals returns the removal, at the given revision, of each cached object that a full list of that revision lacks.
 // Objects with a newer revision are left out.
 func (c *objectCache) removals(kind Kind, list []Object, revision uint64) []Object {
