Keep the bytes of callers' forms

The same bytes as octet-stream or in chunks pass, which rules out the connections to servers and peers. The listener leaves fasthttp's parsing of forms on; Request.Body then writes the form anew from a map. A form that is not valid is answered 400. Change: DisablePreParseMultipartForm on the listener for callers. The stand-in for backend servers had the same fault; it now keeps the bytes and records method, target and body, and Site.Check compares them with what the caller sent. The soak uploads forms.

--- a/io/entry/listener.go
+++ b/io/entry/listener.go
@@ -79,6 +79,8 @@
 		NoDefaultServerHeader: true,
 		NoDefaultDate:         true,
 		NoDefaultContentType:  true,
+		// Parsed forms would be written anew when they are forwarded, with other bytes.
+		DisablePreParseMultipartForm: true,
 	}
 	return l
 }
--- a/stand/site/caller.go
+++ b/stand/site/caller.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -16,16 +17,42 @@
 	"github.com/valyala/fasthttp"
 )
 
+// chunkBytes is the length of the chunks of a request's body.
+const chunkBytes = 100
+
 // Request is a request of a caller. Method is GET if empty.
 type Request struct {
-	ID      string
-	Method  string
-	Host    string
-	Path    string
-	Body    string
+	ID     string
+	Method string
+	Host   string
+	Path   string
+	// Fields are further header lines, each with its CR LF.
+	Fields string
+	Body   string
+	// Chunked sends the body in chunks instead of with a length.
+	Chunked bool
 	Timeout time.Duration
 }
 
+// method returns the HTTP method.
+func (r Request) method() string { return cmp.Or(r.Method, "GET") }
+
+// framedBody returns the header line that frames the body, a blank line and the body.
+func (r Request) framedBody() string {
+	if !r.Chunked {
+		return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(r.Body), r.Body)
+	}
+	var out strings.Builder
+	out.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+	for rest := r.Body; rest != ""; {
+		n := min(len(rest), chunkBytes)
+		_, _ = fmt.Fprintf(&out, "%x\r\n%s\r\n", n, rest[:n])
+		rest = rest[n:]
+	}
+	out.WriteString("0\r\n\r\n")
+	return out.String()
+}
+
 // Answer is what a host answers to a caller.
 type Answer struct {
 	Status        int
@@ -67,12 +94,8 @@
 
 // Send writes a request without waiting for its answer.
 func (c *Caller) Send(request Request) error {
-	method := request.Method
-	if method == "" {
-		method = "GET"
-	}
-	_, err := fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
-		method, request.Path, request.Host, request.ID, request.Timeout.Milliseconds(), len(request.Body), request.Body)
+	_, err := fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n%s%s",
+		request.method(), request.Path, request.Host, request.ID, request.Timeout.Milliseconds(), request.Fields, request.framedBody())
 	return err
 }
 
@@ -110,10 +133,14 @@
 	return c.Receive(request)
 }
 
-// Check compares an answer with the execution log and returns an error if it is incorrect. A refusal with 503 must mean
+// Check compares an answer with the execution log and returns an error if it is incorrect. Servers must have executed the
+// request as the caller sent it, whatever the answer. A refusal with 503 must mean
 // that nothing was executed. With topK 0 the answer must be one server's reply, unchanged; otherwise it must be merged
 // from the topK greatest records of the replies that it names. Answers with other statuses pass.
 func (s *Site) Check(request Request, answer Answer, topK int) error {
+	if err := s.checkExecuted(request); err != nil {
+		return err
+	}
 	switch {
 	case answer.Status == fasthttp.StatusServiceUnavailable && s.ExecutionLog.Runs(request.ID) > 0:
 		return errors.Errorf("request %s was refused as not executed but was executed %d times", request.ID, s.ExecutionLog.Runs(request.ID))
@@ -125,6 +152,21 @@
 	return s.checkMerged(request, answer, topK)
 }
 
+// checkExecuted checks that servers executed the request with the method, target and body that the caller sent.
+func (s *Site) checkExecuted(request Request) error {
+	sent := Execution{
+		Method: request.method(),
+		Target: request.Path,
+		Body:   request.Body,
+	}
+	for _, executed := range s.ExecutionLog.Executions(request.ID) {
+		if executed != sent {
+			return errors.Errorf("request %s was sent as %+q and executed as %+q", request.ID, sent, executed)
+		}
+	}
+	return nil
+}
+
 // checkPassthrough checks that the answer is the signed reply of one server to this request, unchanged.
 func (s *Site) checkPassthrough(request Request, answer Answer) error {
 	if len(answer.Signatures) != 1 {
--- a/stand/site/check_test.go
+++ b/stand/site/check_test.go
@@ -21,7 +21,10 @@
 	other := log.sign("a-0", Reply{RequestID: "q", Service: "a", Status: 200, Body: low})
 	failed := log.sign("b-1", Reply{RequestID: "r", Service: "b", Status: 500, Body: high})
 	whole := string(high) + string(low)
-	log.run("ran", "a")
+	log.run("ran", "a", Execution{Method: "GET"})
+	log.run("other body", "a", Execution{Method: "GET", Body: "b"})
+	log.run("other method", "a", Execution{Method: "POST"})
+	log.run("other target", "a", Execution{Method: "GET", Target: "/"})
 	cases := []struct {
 		name    string
 		id      string
@@ -43,6 +46,10 @@
 		{name: "reply without a signature", id: "r", answer: Answer{Status: 200, Body: low}},
 		{name: "refused and not executed", id: "r-2", answer: Answer{Status: 503}, correct: true},
 		{name: "refused and executed", id: "ran", answer: Answer{Status: 503}},
+		{name: "executed as sent", id: "ran", answer: Answer{Status: 502}, correct: true},
+		{name: "executed with another body", id: "other body", answer: Answer{Status: 502}},
+		{name: "executed with another method", id: "other method", answer: Answer{Status: 502}},
+		{name: "executed with another target", id: "other target", answer: Answer{Status: 502}},
 	}
 	for _, c := range cases {
 		Convey("Check accepts correct answers only: "+c.name, t, func() {
--- a/stand/site/executionlog.go
+++ b/stand/site/executionlog.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +16,8 @@
 	mu sync.Mutex
 	// runs counts the runs of each request by service.
 	runs map[string]map[string]int
+	// executions holds the distinct forms in which each request was executed.
+	executions map[string][]Execution
 	// replies holds every signed reply by its signature.
 	replies map[string]Reply
 	// arrivals counts the messages that reached the servers of each service, sentBy the messages that each host sent to servers.
@@ -27,6 +30,13 @@
 	lastOutageEnd time.Time
 }
 
+// Execution is a request as a server received and executed it.
+type Execution struct {
+	Method string
+	Target string
+	Body   string
+}
+
 // Reply is a signed reply of a server.
 type Reply struct {
 	RequestID string
@@ -39,6 +49,7 @@
 func NewExecutionLog() *ExecutionLog {
 	return &ExecutionLog{
 		runs:       make(map[string]map[string]int),
+		executions: make(map[string][]Execution),
 		replies:    make(map[string]Reply),
 		arrivals:   make(map[string]int),
 		sentBy:     make(map[string]int),
@@ -46,14 +57,24 @@
 	}
 }
 
-// run counts the start of a request's execution on a server of the service.
-func (l *ExecutionLog) run(request, service string) {
+// run records the start of a request's execution on a server of the service.
+func (l *ExecutionLog) run(request, service string, e Execution) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.runs[request] == nil {
 		l.runs[request] = make(map[string]int)
 	}
 	l.runs[request][service]++
+	if !slices.Contains(l.executions[request], e) {
+		l.executions[request] = append(l.executions[request], e)
+	}
+}
+
+// Executions returns the distinct forms in which a request was executed, in the order in which they came.
+func (l *ExecutionLog) Executions(request string) []Execution {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.executions[request])
 }
 
 // arrival counts a message from a host, the sender, to a server of the service.
--- a/stand/site/server.go
+++ b/stand/site/server.go
@@ -155,8 +155,8 @@
 		defer cancel()
 		in := bufio.NewReader(c)
 		for {
-			request := &fasthttp.Request{}
-			if request.Read(in) != nil {
+			request, err := readRequest(in)
+			if err != nil {
 				return nil
 			}
 			select {
@@ -178,6 +178,17 @@
 	}
 }
 
+// readRequest reads a request and keeps the bytes of its body as they came, also those of a form, which fasthttp would
+// otherwise parse and write anew.
+func readRequest(in *bufio.Reader) (*fasthttp.Request, error) {
+	request := &fasthttp.Request{}
+	if err := request.Header.Read(in); err != nil {
+		return nil, err
+	}
+	const unlimited, parseForms = 0, false
+	return request, request.ContinueReadBody(in, unlimited, parseForms)
+}
+
 // answer handles one request and reports whether the connection stays open. It refuses a request for another server with 421.
 func (s *Server) answer(ctx context.Context, c net.Conn, request *fasthttp.Request) bool {
 	id := string(request.Header.Peek("X-Request-Id"))
@@ -189,7 +200,11 @@
 	if fault == Shedding {
 		return s.write(c, id, 503, "X-Not-Executed: 1\r\n", nil)
 	}
-	s.log.run(id, s.service)
+	s.log.run(id, s.service, Execution{
+		Method: string(request.Header.Method()),
+		Target: string(request.RequestURI()),
+		Body:   string(request.Body()),
+	})
 	if timer.Sleep(ctx, serviceTime) != nil {
 		s.Set(func(s *Server) { s.cancelled++ })
 		return false
--- a/stand/soak/caller.go
+++ b/stand/soak/caller.go
@@ -65,7 +65,8 @@
 	}
 }
 
-// newRequest draws a request: half go to the shard set, a quarter each to the idempotent and the non-idempotent route.
+// newRequest draws a request: half go to the shard set, a quarter each to the idempotent and the non-idempotent route. Half
+// of the latter have a form as their body.
 func (s *soak) newRequest(random *rand.Rand) site.Request {
 	a := site.Request{
 		ID:      fmt.Sprintf("%016x", random.Uint64()),
@@ -78,10 +79,23 @@
 		a.Host = oneHost
 	case 1:
 		a.Host, a.Method, a.Body = onceHost, "POST", strings.Repeat("b", random.IntN(2000))
+		if random.IntN(2) == 0 {
+			a.Fields, a.Body = formField, form(a.Body)
+		}
+		a.Chunked = random.IntN(4) == 0
 	}
 	return a
 }
 
+// formField is the header line that declares the content type of a form.
+const formField = "Content-Type: multipart/form-data; boundary=limit\r\n"
+
+// form returns a form that uploads a file, with a text field after it.
+func form(file string) string {
+	return "--limit\r\nContent-Disposition: form-data; name=\"survey\"; filename=\"cerro.csv\"\r\n\r\n" + file +
+		"\r\n--limit\r\nContent-Disposition: form-data; name=\"sheet\"\r\n\r\nF-12\r\n--limit--\r\n"
+}
+
 // check compares an answer with the record of the backend servers.
 func (s *soak) check(a site.Request, answer site.Answer) {
 	records := 0
