--- a/io/entry/listener_test.go
+++ b/io/entry/listener_test.go
@@ -131,6 +131,9 @@
 		{name: "folded field", text: "GET / HTTP/1.1\r\n" + commonFields + "X-A: b\r\n c: d\r\n\r\n"},
 		{name: "no request ID", text: "GET / HTTP/1.1\r\nHost: h\r\n\r\n"},
 		{name: "malformed deadline", text: "GET / HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\nX-Deadline-Ms: soon\r\n\r\n"},
+		{name: "two hosts", text: "GET / HTTP/1.1\r\n" + commonFields + "Host: other.example\r\n\r\n"},
+		{name: "two request IDs", text: "GET / HTTP/1.1\r\n" + commonFields + "x-request-id: r-2\r\n\r\n"},
+		{name: "two deadlines", text: "GET / HTTP/1.1\r\n" + commonFields + "X-Deadline-Ms: 9000\r\n\r\n"},
 		{name: "no path", text: "GET * HTTP/1.1\r\n" + commonFields + "\r\n"},
 	}
 	for _, c := range cases {
