--- a/io/entry/listener_test.go
+++ b/io/entry/listener_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -196,6 +197,47 @@
 	}
 }
 
+// TestHeaderFieldsAreForwardedAsSent sends fields that an HTTP library may join, reorder or write anew. Servers may compute a
+// signature over them, and a trailer field that became a header field could name another request or server.
+func TestHeaderFieldsAreForwardedAsSent(t *testing.T) {
+	const trailers = "Transfer-Encoding: chunked\r\nTrailer: X-Request-Id, X-Sum\r\n"
+	const chunks = "3\r\nabc\r\n0\r\n"
+	cases := []struct {
+		name, method, sent, rest, forwarded string
+	}{
+		{name: "cookies", sent: "Cookie: b=2; a=1;c=; a=3; plain\r\n", forwarded: "Cookie: b=2; a=1;c=; a=3; plain\r\n"},
+		{name: "two cookie lines", sent: "Cookie: a=1\r\nX-A: 1\r\nCookie: a=1\r\n", forwarded: "Cookie: a=1\r\nX-A: 1\r\nCookie: a=1\r\n"},
+		{name: "repeated fields in order", sent: "X-A: 2\r\nX-B: 1\r\nX-A: 1\r\n", forwarded: "X-A: 2\r\nX-B: 1\r\nX-A: 1\r\n"},
+		{name: "case of names", sent: "x-TRACE-id: A\r\n", forwarded: "x-TRACE-id: A\r\n"},
+		{name: "empty value", sent: "X-A:\r\n", forwarded: "X-A:\r\n"},
+		{name: "empty user agent", sent: "User-Agent: \r\nX-A: 1\r\n", forwarded: "User-Agent: \r\nX-A: 1\r\n"},
+		{name: "hop-by-hop fields in any case", sent: "connection: x-hop\r\nX-HOP: 1\r\nkeep-alive: 1\r\nX-A: 1\r\n", forwarded: "X-A: 1\r\n"},
+		{name: "several Connection fields", sent: "Connection: X-Hop\r\nConnection: X-Jump\r\nX-Hop: 1\r\nX-Jump: 1\r\nX-A: 1\r\n", forwarded: "X-A: 1\r\n"},
+		{
+			name: "trailer fields", method: "POST", sent: trailers, rest: chunks + "X-Request-Id: r-2\r\nX-Sum: 1\r\n\r\n",
+			forwarded: "Content-Length: 3\r\n",
+		},
+		{
+			name: "length in the place of chunks", method: "POST", sent: "X-A: 1\r\n" + trailers + "X-B: 2\r\n", rest: chunks + "\r\n",
+			forwarded: "X-A: 1\r\nX-B: 2\r\nContent-Length: 3\r\n",
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := &recorder{}
+			line := cmp.Or(c.method, "GET") + " /a?b HTTP/1.1\r\n"
+			withListener(t, r, func(_ *Listener, address string) {
+				_, _ = exchange(t, address, line+commonFields+c.sent+"\r\n"+c.rest)
+			})
+			Convey("The server gets the end-to-end fields byte by byte, and no trailer field", t, func() {
+				So(r.count(), ShouldEqual, 1)
+				So(string(r.messages[0].Head), ShouldEqual, line+"Host: h.example\r\nX-Request-Id: r-1\r\n"+c.forwarded)
+				So(r.messages[0].ID, ShouldEqual, "r-1")
+			})
+		})
+	}
+}
+
 // TestRefusalStatus checks the HTTP status and Retry-After of each refusal.
 func TestRefusalStatus(t *testing.T) {
 	cases := []struct {
