Pass on no reply that falsely promises that nothing ran

Worse, an unmarked 421 always counted as a refusal, so that a request whose server ran it went to another server. The stand-in runs requests and answers unmarked 408, 421, 429 and 503, and Site.Check and the soak hold all four statuses for promises.

--- a/core/pool/conn.go
+++ b/core/pool/conn.go
@@ -27,8 +27,8 @@
 	Send(message *query.Message, server string, deadline time.Time) error
 	// WaitReadable blocks until bytes have arrived; the error says why none will.
 	WaitReadable() error
-	// Receive reads one whole reply to message.
-	Receive(message *query.Message) (Reply, error)
+	// Receive reads one whole reply to message, which was sent for the server of that ID.
+	Receive(message *query.Message, server string) (Reply, error)
 	// SetReadDeadline makes WaitReadable and Receive fail after the deadline; the zero time removes it.
 	SetReadDeadline(deadline time.Time) error
 	// Close closes the connection, which makes pending calls on it fail.
--- a/core/pool/ownership_test.go
+++ b/core/pool/ownership_test.go
@@ -48,10 +48,10 @@
 	return errors.New("reset")
 }
 
-func (c *tornConn) Receive(m *query.Message) (Reply, error) {
+func (c *tornConn) Receive(m *query.Message, server string) (Reply, error) {
 	<-c.failed
 	time.Sleep(2 * time.Millisecond)
-	return c.fakeConn.Receive(m)
+	return c.fakeConn.Receive(m, server)
 }
 
 // dialFunc is a Dialer.
@@ -176,7 +176,7 @@
 	return nil
 }
 
-func (c *exclusiveConn) Receive(m *query.Message) (Reply, error) {
+func (c *exclusiveConn) Receive(m *query.Message, server string) (Reply, error) {
 	time.Sleep(rand.N(200 * time.Microsecond))
 	switch rand.IntN(10) {
 	case 0:
@@ -186,7 +186,7 @@
 		return Reply{Close: true, Result: query.Done{}}, nil
 	}
 	c.busy.Store(false)
-	return c.fakeConn.Receive(m)
+	return c.fakeConn.Receive(m, server)
 }
 
 // TestCallsHaveOneOwner submits and cancels calls at random to a server that moves, on connections that fail at random.
@@ -246,7 +246,7 @@
 // panickyConn panics while it reads a reply.
 type panickyConn struct{ fakeConn }
 
-func (c *panickyConn) Receive(*query.Message) (Reply, error) { panic("malformed") }
+func (c *panickyConn) Receive(*query.Message, string) (Reply, error) { panic("malformed") }
 
 // TestPanicEndsOneCall lets the decoding of a reply panic.
 func TestPanicEndsOneCall(t *testing.T) {
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -48,7 +48,7 @@
 	}
 }
 
-func (c *fakeConn) Receive(*query.Message) (Reply, error) {
+func (c *fakeConn) Receive(*query.Message, string) (Reply, error) {
 	return Reply{
 		Result: query.Done{
 			Reply: &query.Reply{},
--- a/core/pool/pooledconn.go
+++ b/core/pool/pooledconn.go
@@ -62,7 +62,7 @@
 			pc.owner.countEvent("unasked")
 			return nil
 		}
-		reply, err := pc.conn.Receive(call.Message)
+		reply, err := pc.conn.Receive(call.Message, call.Server)
 		if err != nil {
 			pc.failCall(err)
 			return nil
--- a/core/query/result.go
+++ b/core/query/result.go
@@ -50,7 +50,7 @@
 // Failed means that the call may have been executed and has no successful result. Without a Reply its outcome is not known.
 type Failed struct {
 	Reason string
-	// Reply is the server's signed error reply to a Message; it is nil if there was none.
+	// Reply is the server's signed error reply to a Message; it is nil if there was none that may be passed on.
 	Reply *Reply
 }
 
--- a/core/relay/completion.go
+++ b/core/relay/completion.go
@@ -46,7 +46,7 @@
 	return ok && notExecuted.Cause == query.Busy
 }
 
-// isLoss reports whether a call ended without a reply although a server may have executed it.
+// isLoss reports whether a call ended without a reply that states its outcome, although a server may have executed it.
 func isLoss(result query.Result) bool {
 	failed, ok := result.(query.Failed)
 	return ok && failed.Reply == nil
--- a/stand/site/caller.go
+++ b/stand/site/caller.go
@@ -67,6 +67,16 @@
 	Elapsed time.Duration
 }
 
+// PromisesNotRun reports whether the status tells the caller that the request was not executed and never will be.
+func (a Answer) PromisesNotRun() bool {
+	switch a.Status {
+	case fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest, fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // Caller is a caller's connection to a host.
 type Caller struct {
 	site   *Site
@@ -134,7 +144,7 @@
 }
 
 // Check compares an answer with the execution log and returns an error if it is incorrect. Servers must have executed the
-// request as the caller sent it, whatever the answer. A refusal with 503 must mean
+// request as the caller sent it, whatever the answer. An answer that PromisesNotRun must mean
 // that nothing was executed. With topK 0 the answer must be one server's reply, unchanged; otherwise it must be merged
 // from the topK greatest records of the replies that it names. Answers with other statuses pass.
 func (s *Site) Check(request Request, answer Answer, topK int) error {
@@ -142,8 +152,9 @@
 		return err
 	}
 	switch {
-	case answer.Status == fasthttp.StatusServiceUnavailable && s.ExecutionLog.Runs(request.ID) > 0:
-		return errors.Errorf("request %s was refused as not executed but was executed %d times", request.ID, s.ExecutionLog.Runs(request.ID))
+	case answer.PromisesNotRun() && s.ExecutionLog.Runs(request.ID) > 0:
+		return errors.Errorf("request %s was answered %d, which means not executed, but was executed %d times",
+			request.ID, answer.Status, s.ExecutionLog.Runs(request.ID))
 	case answer.Status != fasthttp.StatusOK:
 		return nil
 	case topK == 0:
--- a/stand/site/gather_test.go
+++ b/stand/site/gather_test.go
@@ -36,6 +36,11 @@
 				server.Set(WithReplyFault(Shedding, 0.1))
 			}
 		}},
+		{name: "servers reply 503 after they ran", centre: "south", sends: 2 * n, answered: n * 9 / 10, fault: func(r *rig) {
+			for _, server := range r.site.servers {
+				server.Set(WithReplyFault(Unmarked503, 0.1))
+			}
+		}},
 		{name: "servers pause", centre: "south", sends: n, answered: n * 9 / 10, fault: func(r *rig) {
 			for _, id := range []string{"sh-a-1", "sh-b-1", "sh-c-2"} {
 				r.site.Server(id).Set(WithPause(2 * time.Second))
--- a/stand/site/rules_test.go
+++ b/stand/site/rules_test.go
@@ -22,6 +22,10 @@
 		{name: "garbage", fault: Garbage},
 		{name: "unsigned", fault: Unsigned},
 		{name: "failing", fault: Failing},
+		{name: "unmarked 408", fault: Unmarked408},
+		{name: "unmarked 421", fault: Unmarked421},
+		{name: "unmarked 429", fault: Unmarked429},
+		{name: "unmarked 503", fault: Unmarked503},
 		{name: "lost", fault: NoReply},
 		{name: "shedding", fault: Shedding},
 	}
--- a/stand/site/server.go
+++ b/stand/site/server.go
@@ -45,6 +45,12 @@
 	// Unsigned replies without a signature, Failing replies 500 with a signature.
 	Unsigned
 	Failing
+	// Unmarked408, Unmarked421, Unmarked429 and Unmarked503 execute the request and reply with that status and a signature,
+	// without stating that nothing was executed.
+	Unmarked408
+	Unmarked421
+	Unmarked429
+	Unmarked503
 	// NoReply executes the request and closes the connection without a reply; Shedding refuses the request with X-Not-Executed.
 	NoReply
 	Shedding
@@ -53,6 +59,24 @@
 	EndlessBody
 )
 
+// status returns the HTTP status of a signed reply with the fault.
+func (f ReplyFault) status() int {
+	switch f {
+	case Failing:
+		return fasthttp.StatusInternalServerError
+	case Unmarked408:
+		return fasthttp.StatusRequestTimeout
+	case Unmarked421:
+		return fasthttp.StatusMisdirectedRequest
+	case Unmarked429:
+		return fasthttp.StatusTooManyRequests
+	case Unmarked503:
+		return fasthttp.StatusServiceUnavailable
+	default:
+		return fasthttp.StatusOK
+	}
+}
+
 // Server is a fake backend server.
 type Server struct {
 	id      string
@@ -194,7 +218,7 @@
 	id := string(request.Header.Peek("X-Request-Id"))
 	s.log.arrival(s.service, stand.OwnerOf(c))
 	if expected := string(request.Header.Peek("X-Expect-Instance")); expected != s.id {
-		return s.write(c, id, 421, "", nil)
+		return s.write(c, id, 421, "X-Instance-Id: "+s.id+"\r\n", nil)
 	}
 	fault, serviceTime := s.admit()
 	if fault == Shedding {
@@ -243,10 +267,7 @@
 // reply writes the signed reply to a request, altered by the fault, and reports whether the connection stays open.
 func (s *Server) reply(c net.Conn, id string, fault ReplyFault) bool {
 	body := s.records(id)
-	status := 200
-	if fault == Failing {
-		status = 500
-	}
+	status := fault.status()
 	signature := "X-Server-Stamp: " + s.log.sign(s.id, Reply{
 		RequestID: id,
 		Service:   s.service,
--- a/stand/soak/caller.go
+++ b/stand/soak/caller.go
@@ -114,15 +114,15 @@
 	}
 }
 
-// checkRunsLater checks after 2 s that a non-idempotent request did not run more than once, and not at all if it was
-// refused with 503. The delay leaves time for late runs.
+// checkRunsLater checks after 2 s that a non-idempotent request did not run more than once, and not at all if the
+// answer promised that. The delay leaves time for late runs.
 func (s *soak) checkRunsLater(a site.Request, answer site.Answer) {
 	s.tasks.Go(func() error {
 		time.Sleep(2 * time.Second)
 		switch runs := s.site.ExecutionLog.Runs(a.ID); {
 		case runs > 1:
 			s.addViolation("twice", a.ID, fmt.Sprintf("%d runs", runs))
-		case runs > 0 && answer.Status == 503:
+		case runs > 0 && answer.PromisesNotRun():
 			s.addViolation("refused", a.ID, "refused as not run, and ran")
 		}
 		return nil
