--- a/stand/site/rules_test.go
+++ b/stand/site/rules_test.go
@@ -17,6 +17,7 @@
 	}{
 		{name: "extra reply", fault: ExtraReply},
 		{name: "late extra reply", fault: LateReply},
+		{name: "late copy broken off", fault: LateCopy},
 		{name: "truncated", fault: Truncated},
 		{name: "unframed", fault: Unframed},
 		{name: "garbage", fault: Garbage},
--- a/stand/site/server.go
+++ b/stand/site/server.go
@@ -27,6 +27,9 @@
 	cancelGrace = 500 * time.Millisecond
 )
 
+// lateCopyDelay is the time between a reply and its copy, shorter than requests take, so that the next reply follows it.
+const lateCopyDelay = 3 * time.Millisecond
+
 // ReplyFault is a fault that a server injects into its replies.
 type ReplyFault int
 
@@ -37,6 +40,8 @@
 	// ExtraReply sends a second, forged reply after each; LateReply sends it a little later, when the next reply may be due.
 	ExtraReply
 	LateReply
+	// LateCopy sends a copy of each reply a little later, broken off at a random byte.
+	LateCopy
 	// Truncated closes the connection in the middle of the body, Unframed sends no length and ends the body by closing
 	// the connection, and Garbage sends bytes that are no HTTP reply.
 	Truncated
@@ -305,17 +310,29 @@
 			s.write(c, id, 200, "X-Server-Stamp: forged\r\n", []byte("forgedforgedforg"))
 			return nil
 		})
+	case LateCopy:
+		text := replyText(id, status, signature, body)
+		s.tasks.Go(func() error {
+			time.Sleep(lateCopyDelay)
+			_, _ = c.Write([]byte(text[:1+rand.IntN(len(text)-1)]))
+			return nil
+		})
 	}
 	return true
 }
 
 // write sends a response with additional header fields and reports whether that succeeded.
 func (s *Server) write(c net.Conn, id string, status int, fields string, body []byte) bool {
-	_, err := c.Write([]byte("HTTP/1.1 " + strconv.Itoa(status) + " Status\r\nX-Request-Id: " + id + "\r\n" + fields +
-		"Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + string(body)))
+	_, err := c.Write([]byte(replyText(id, status, fields, body)))
 	return err == nil
 }
 
+// replyText returns a response with additional header fields, which stand before the request ID.
+func replyText(id string, status int, fields string, body []byte) string {
+	return "HTTP/1.1 " + strconv.Itoa(status) + " Status\r\n" + fields + "X-Request-Id: " + id + "\r\n" +
+		"Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + string(body)
+}
+
 // records returns the body of a reply: five unordered records of 16 bytes and an incomplete one.
 func (s *Server) records(id string) []byte {
 	var body []byte
