Give calls only to connections that can still answer them

Bytes that arrived after a call was assigned to a connection, and before its message was sent, were read as its reply. A call that was assigned to an idle connection whose reader had ended, but which was not dropped yet, got no result from the pool at all. Change: the pool records when the write of a message begins; bytes before that end the connection, and the call as not executed, which is true since the message is not written then. Connections that are closing are not taken from the idle ones.

--- a/core/pool/pooledconn.go
+++ b/core/pool/pooledconn.go
@@ -25,8 +25,10 @@
 	conn  Conn
 	// The fields below are guarded by owner.mu.
 	call *Call
-	// sending is set while a message is being written.
+	// sending is set while a message is waiting to be written or being written, started once the write of the message of call
+	// has begun.
 	sending bool
+	started bool
 	// repliedEarly is set when the reply arrived before the write of the message returned, and the connection can be
 	// used for another call.
 	repliedEarly bool
@@ -41,8 +43,8 @@
 	staleAt time.Time
 }
 
-// readLoop reads replies until the connection fails or gets no further calls. Bytes that arrive without a call in
-// progress end it too. A panic, as over a malformed reply, ends this connection and its call alone.
+// readLoop reads replies until the connection fails or gets no further calls. Bytes that arrive before a message is sent
+// end it too. A panic, as over a malformed reply, ends this connection and its call alone.
 func (pc *pooledConn) readLoop(context.Context) error {
 	defer pc.owner.remove(pc)
 	defer func() {
@@ -57,7 +59,7 @@
 			pc.failCall(err)
 			return nil
 		}
-		call := pc.owner.currentCall(pc)
+		call := pc.owner.startedCall(pc)
 		if call == nil {
 			pc.owner.countEvent("unasked")
 			return nil
@@ -77,12 +79,15 @@
 	}
 }
 
-// send writes the message of the call that is assigned to the connection.
+// send writes the message of the call that is assigned to the connection, unless the call has ended since.
 func (pc *pooledConn) send(call *Call) {
 	if err := pc.conn.SetReadDeadline(call.Deadline.Add(replyGrace)); err != nil {
 		pc.failNotSent(errors.Wrap(err, "set read deadline"))
 		return
 	}
+	if !pc.owner.startSend(pc, call) {
+		return
+	}
 	err := pc.conn.Send(call.Message, call.Server, call.Deadline)
 	switch {
 	case err == nil:
--- a/core/pool/reply.go
+++ b/core/pool/reply.go
@@ -6,11 +6,34 @@
 	"magnoliaworks/core/query"
 )
 
-// currentCall returns the call in progress on the connection, or nil.
-func (sp *serverPool) currentCall(pc *pooledConn) *Call {
+// startSend records that the message of a call is about to be written; it reports false if the call has ended.
+func (sp *serverPool) startSend(pc *pooledConn, call *Call) bool {
 	sp.mu.Lock()
 	defer sp.mu.Unlock()
-	return pc.call
+	if pc.call != call {
+		return false
+	}
+	pc.started = true
+	return true
+}
+
+// startedCall returns the call in progress to which bytes that have arrived can belong. If there is none, the connection
+// gets no further calls, and a call whose message has not been written ends as not executed.
+func (sp *serverPool) startedCall(pc *pooledConn) *Call {
+	sp.mu.Lock()
+	if pc.call != nil && pc.started {
+		defer sp.mu.Unlock()
+		return pc.call
+	}
+	unsent := sp.detach(pc)
+	pc.closing = true
+	sp.mu.Unlock()
+	if unsent != nil {
+		sp.deliver(unsent, query.NotExecuted{
+			Reason: "bytes arrived on the connection before the message was sent",
+		})
+	}
+	return nil
 }
 
 // markClosing keeps further calls off the connection, which is closed after its current call.
--- a/core/pool/serverpool.go
+++ b/core/pool/serverpool.go
@@ -143,12 +143,15 @@
 // Stale connections are closed first. The caller holds mu.
 func (sp *serverPool) takeIdle(now time.Time) *pooledConn {
 	sp.closeStale(now, len(sp.conns))
-	if len(sp.idle) == 0 {
-		return nil
+	for len(sp.idle) > 0 {
+		pc := sp.idle[len(sp.idle)-1]
+		sp.idle = sp.idle[:len(sp.idle)-1]
+		// The reader of a closing connection has ended; remove is about to drop it.
+		if !pc.closing {
+			return pc
+		}
 	}
-	pc := sp.idle[len(sp.idle)-1]
-	sp.idle = sp.idle[:len(sp.idle)-1]
-	return pc
+	return nil
 }
 
 // closeStale closes idle connections that the server may have closed and, while more than n connections are open, busy
@@ -170,7 +173,7 @@
 
 // assign binds a call to a connection, on which nothing else may be sent until the call ends. The caller holds mu.
 func (sp *serverPool) assign(pc *pooledConn, call *Call, now time.Time) {
-	pc.call, pc.sending = call, true
+	pc.call, pc.sending, pc.started = call, true, false
 	call.assigned, call.sentAt = pc, now
 }
 
