Verify after pings that watches have heard the store's changes

Cause: a connection to the store on which an answer was lost returns nothing further. Change: a ping's answer states the store's revision. A kind that is not known up to it 0.6 s later is brought up to date by a stale list (a tenth of a call), and its watch is started again if it had missed a change (core/watch/verify.go). The soak gets store_deaf: half of the open connections to the store go silent.

--- a/core/watch/apply.go
+++ b/core/watch/apply.go
@@ -7,11 +7,16 @@
 	"magnoliaworks/core/topo"
 )
 
-// applyList applies a full list from the store. Known objects that it lacks are removed, unless their revision is newer
-// than the list's: in that case the list is a stale read.
+// applyList applies a full list from the store.
 func (w *Watcher) applyList(kind Kind, list Changes) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.replace(kind, list)
+}
+
+// replace applies a full list. Known objects that it lacks are removed, unless their revision is newer than the list's: in
+// that case the list is a stale read. The caller holds mu.
+func (w *Watcher) replace(kind Kind, list Changes) {
 	objects := append(w.cache.removals(kind, list.Objects, list.Revision), list.Objects...)
 	w.cache.revisions[kind] = list.Revision
 	w.applyNewer(kind, w.holdRemovals(kind, objects))
--- a/core/watch/ping.go
+++ b/core/watch/ping.go
@@ -48,21 +48,18 @@
 	}
 	if wasDown {
 		w.journal.Record("follow", "store", "regained", "the store answers again")
-		for k := range w.watchCancels {
-			if cancel := w.watchCancels[k].Load(); cancel != nil {
-				(*cancel)()
-			}
+		for kind := range kindCount {
+			w.cancelWatch(kind)
 		}
 	}
 }
 
 // applyPing applies the list of evacuations that a ping returned if it is newer than what is known, so that an evacuation
-// takes effect also while the watch hears nothing.
+// takes effect also while the watch hears nothing, and passes the store's revision on to verifyLoop.
 func (w *Watcher) applyPing(list Changes) {
-	w.mu.Lock()
-	known := w.cache.revisions[Evacuations]
-	w.mu.Unlock()
-	if known > 0 && list.Revision > known {
-		w.applyList(Evacuations, list)
+	w.applyStaleList(Evacuations, list)
+	select {
+	case w.pinged <- list.Revision:
+	default:
 	}
 }
--- a/core/watch/watcher.go
+++ b/core/watch/watcher.go
@@ -58,6 +58,8 @@
 	directWatchUntil atomic.Int64
 	// watchCancels cancels the watch of each kind, so that it is started again after an outage.
 	watchCancels [kindCount]atomic.Pointer[context.CancelFunc]
+	// pinged passes the store's revision that a ping returned to verifyLoop.
+	pinged chan uint64
 
 	// mu guards the fields below.
 	mu    sync.Mutex
@@ -109,6 +111,7 @@
 		dataCentre:    options.DataCentre,
 		epoch:         rand.Uint64(),
 		cache:         newObjectCache(),
+		pinged:        make(chan uint64, 1),
 		changed:       make(chan struct{}),
 		held:          make(map[string]heldRemoval),
 		registrations: make(map[string]Registration),
@@ -125,6 +128,7 @@
 	group.Go(func() error { return w.compareAtStart(ctx) })
 	group.Go(func() error { return w.followPeers(ctx) })
 	group.Go(func() error { return w.pingLoop(ctx) })
+	group.Go(func() error { return w.verifyLoop(ctx) })
 	group.Go(func() error { return w.releaseLoop(ctx) })
 	return group.Wait()
 }
--- a/stand/site/objecthandler.go
+++ b/stand/site/objecthandler.go
@@ -132,7 +132,7 @@
 		case compacted:
 			c.SetStatusCode(fasthttp.StatusGone)
 			return
-		case o.stalls(stand.OwnerOf(c.Conn())) && time.Now().Before(deadline):
+		case o.stalls(stand.OwnerOf(c.Conn()), kind) && time.Now().Before(deadline):
 		case len(events) > 0 || !time.Now().Before(deadline):
 			reply(c, watchReply{
 				Events: events,
--- a/stand/site/objectstore.go
+++ b/stand/site/objectstore.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,11 +43,11 @@
 	oldest uint64
 	state  StoreState
 	calls  map[string]int
-	// watchers holds the hosts that have watched the store, refused those that get 503, and stalled those whose watches
-	// return nothing.
+	// watchers holds the hosts that have watched the store, refused those that get 503, and stalled the kinds whose watches
+	// return nothing to a host; no kind stands for all.
 	watchers map[string]bool
 	refused  map[string]bool
-	stalled  map[string]bool
+	stalled  map[string][]string
 	// cuts counts the calls of CutWatches, which drops the history deafTime later.
 	cuts int
 	// stale holds, for each kind, the objects that stale lists return, as they were at staleRevision; nil if such lists
@@ -82,7 +83,7 @@
 		calls:    make(map[string]int),
 		watchers: make(map[string]bool),
 		refused:  make(map[string]bool),
-		stalled:  make(map[string]bool),
+		stalled:  make(map[string][]string),
 		revision: 1,
 	}
 	o.http = &fasthttp.Server{
@@ -202,17 +203,18 @@
 	return o.refused[id]
 }
 
-// Stall makes the watches of a host return nothing, while its lists are answered.
-func (o *ObjectStore) Stall(id string) {
+// Stall makes the watches of a host for some kinds, or for all if none is named, return nothing, while its lists are answered.
+func (o *ObjectStore) Stall(id string, kinds ...string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.stalled[id] = true
+	o.stalled[id] = kinds
 }
 
-func (o *ObjectStore) stalls(id string) bool {
+func (o *ObjectStore) stalls(id, kind string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.stalled[id]
+	kinds, ok := o.stalled[id]
+	return ok && (len(kinds) == 0 || slices.Contains(kinds, kind))
 }
 
 // FreezeStaleLists makes stale lists return the objects as they are now, whatever changes later.
--- a/stand/soak/fault.go
+++ b/stand/soak/fault.go
@@ -34,6 +34,10 @@
 		{name: "store_silent", run: degradeStore(site.StoreSilent)},
 		{name: "store_forgets", planned: true, run: func(_ context.Context, s *soak, _ *rand.Rand) error { s.site.Store.Compact(); return nil }},
 		{name: "store_cut", run: withProxyMode(func(s *soak, _ *rand.Rand) []*proxy { return []*proxy{s.storeProxy} }, dropFromServer)},
+		{name: "store_deaf", run: func(_ context.Context, s *soak, r *rand.Rand) error {
+			s.storeProxy.silence(func() bool { return r.IntN(2) == 0 })
+			return nil
+		}},
 		{name: "servers_delayed", run: withProxyMode(randomServerProxies, delayBoth)},
 		{name: "servers_deaf", run: withProxyMode(randomServerProxies, dropToServer)},
 		{name: "servers_mute", run: withProxyMode(randomServerProxies, dropFromServer)},
--- a/stand/soak/proxy.go
+++ b/stand/soak/proxy.go
@@ -31,8 +31,9 @@
 	target   string
 	tasks    errgroup.Group
 
-	mu    sync.Mutex
-	mode  proxyMode
+	mu   sync.Mutex
+	mode proxyMode
+	// conns holds the open connections, and whether what they send is discarded for good.
 	conns map[net.Conn]bool
 }
 
@@ -67,18 +68,19 @@
 	if err != nil {
 		return c.Close()
 	}
-	p.track(c, true)
-	p.track(s, true)
+	p.track(c)
+	p.track(s)
 	var pair errgroup.Group
 	pair.Go(func() error { return p.copyOneWay(s, c, dropToServer) })
 	pair.Go(func() error { return p.copyOneWay(c, s, dropFromServer) })
 	err = pair.Wait()
-	p.track(c, false)
-	p.track(s, false)
+	p.forget(c)
+	p.forget(s)
 	return err
 }
 
-// copyOneWay copies one direction until either end closes. It discards data while the proxy is in dropMode.
+// copyOneWay copies one direction until either end closes. It discards data while the proxy is in dropMode, and
+// if the connection is silenced.
 func (p *proxy) copyOneWay(to, from net.Conn, dropMode proxyMode) error {
 	buffer := make([]byte, 16<<10)
 	for {
@@ -88,10 +90,10 @@
 			_ = from.Close()
 			return nil
 		}
-		switch p.currentMode() {
-		case dropMode:
+		switch mode := p.currentMode(); {
+		case mode == dropMode || p.silenced(from):
 			continue
-		case delayBoth:
+		case mode == delayBoth:
 			time.Sleep(forwardDelay)
 		}
 		if _, err := to.Write(buffer[:n]); err != nil && !errors.Is(err, io.EOF) {
@@ -106,16 +108,33 @@
 	return p.mode
 }
 
-func (p *proxy) track(c net.Conn, tracked bool) {
+func (p *proxy) track(c net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns[c] = false
+}
+
+func (p *proxy) forget(c net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if tracked {
-		p.conns[c] = true
-		return
-	}
 	delete(p.conns, c)
 }
 
+// silence discards for good what is sent on the open connections for which chance returns true. New ones work.
+func (p *proxy) silence(chance func() bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		p.conns[c] = p.conns[c] || chance()
+	}
+}
+
+func (p *proxy) silenced(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conns[c]
+}
+
 // setMode sets the mode for all present and future connections.
 func (p *proxy) setMode(mode proxyMode) {
 	p.mu.Lock()
