Let hosts that reach no peer assume the size of their fleet

Cause: a host that had known no other one for 4 s counted itself as the whole fleet, though its settings name peers. The retry budget and the connections of a server are divided by the same count. Change: while a host has peers and has known no other host since its start, the count is at least platform.assumed_hosts (checked, default 128), it claims no rank, and it logs that. Hosts without peers count as before. Open: hosts that share a store and a data centre don't find each other without peers.

--- a/core/setup/platform.go
+++ b/core/setup/platform.go
@@ -7,6 +7,8 @@
 	// and a factor of 1 leaves the stated rate of a cold server as it is.
 	defaultRetryWindow  = 10 * time.Second
 	defaultWarmupFactor = 1
+	// defaultAssumedHosts is large enough that isolated hosts add little to what a fleet of a few hundred hosts permits itself.
+	defaultAssumedHosts = 128
 	// stopShare is the share of the grace within which the host shuts down by itself. leaveShare is the share that bounds
 	// LeaveWait, the wait before the host refuses work.
 	stopShare  = 5.0 / 6
@@ -31,6 +33,9 @@
 	// to the product.
 	WarmupFactor float64 `json:"warmup_factor" min:"0" max:"100"`
 	WarmupSlack  float64 `json:"warmup_slack" min:"0" max:"1000000"`
+	// AssumedHosts is the number of hosts among which a host divides the bounds of the fleet, and the connections of each
+	// server, while it has peers and has reached none since its start.
+	AssumedHosts int `json:"assumed_hosts" min:"1" max:"10000"`
 	// MemoryMB is the memory that the process may use, in units of 2^20 bytes, and Processors the number of processors.
 	// 0 means that it is not stated.
 	MemoryMB   int `json:"memory_mb" min:"0" max:"1048576"`
@@ -52,6 +57,9 @@
 	if s.Platform.WarmupFactor == 0 {
 		s.Platform.WarmupFactor = defaultWarmupFactor
 	}
+	if s.Platform.AssumedHosts == 0 {
+		s.Platform.AssumedHosts = defaultAssumedHosts
+	}
 	if grace := float64(s.Platform.Grace); grace > 0 {
 		s.StopLimit = min(s.StopLimit, time.Duration(stopShare*grace))
 		s.LeaveWait = min(s.LeaveWait, time.Duration(leaveShare*grace))
--- a/gateway.go
+++ b/gateway.go
@@ -54,7 +54,7 @@
 	}
 	picker := route.NewPicker(route.Policy(h.settings.Policy), h.settings.DataCentre,
 		limit.NewBudget(crossShare, budgetBurst), h.journal)
-	hosts := newMembership(h.table)
+	hosts := newMembership(h.table, h.otherPeers, platformSettings.AssumedHosts)
 	g.pool = pool.New(pool.Options{
 		DataCentre: h.settings.DataCentre,
 		Dialer:     platform.NewDialer(h.network.Dial),
--- a/membership.go
+++ b/membership.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"magnoliaworks/core/member"
@@ -29,6 +30,11 @@
 type membership struct {
 	table   *member.Table
 	started time.Time
+	// peers returns the addresses of other hosts in the settings. assumedHosts is the number of hosts that is assumed while
+	// there are such peers and none of them has answered; met is set once another host has been known.
+	peers        func() []string
+	assumedHosts int
+	met          atomic.Bool
 
 	mu sync.Mutex
 	// viewDigest is the digest of the view when last checked, and viewChangedAt the time when it last differed.
@@ -36,16 +42,18 @@
 	viewChangedAt time.Time
 }
 
-func newMembership(table *member.Table) *membership {
+func newMembership(table *member.Table, peers func() []string, assumedHosts int) *membership {
 	return &membership{
-		table:   table,
-		started: time.Now(),
+		table:        table,
+		started:      time.Now(),
+		peers:        peers,
+		assumedHosts: assumedHosts,
 	}
 }
 
 // HostCount implements relay.Membership. Unreachable hosts count, since they may still work.
 // Until the view has settled the count is at least initialHostCount, and up to discoveryTime it includes an allowance
-// for hosts that are not known yet.
+// for hosts that are not known yet. A host that has reached none of its peers does not know the size of its fleet.
 func (ms *membership) HostCount() int {
 	n := 0
 	for _, m := range ms.table.View().Members() {
@@ -56,6 +64,8 @@
 	switch {
 	case !ms.Settled():
 		return max(n, initialHostCount)
+	case ms.isolated():
+		return max(n, ms.assumedHosts)
 	case time.Since(ms.started) < discoveryTime:
 		return n + n/2
 	default:
@@ -63,6 +73,14 @@
 	}
 }
 
+// isolated reports whether this host has peers and has known no other host since its start.
+func (ms *membership) isolated() bool {
+	if !ms.met.Load() && len(ms.table.View().Members()) > 1 {
+		ms.met.Store(true)
+	}
+	return !ms.met.Load() && len(ms.peers()) > 0
+}
+
 // Available implements relay.Membership.
 func (ms *membership) Available() []member.Member { return ms.table.View().Available() }
 
@@ -111,8 +129,11 @@
 	return len(view.Members()) > 1 && time.Since(ms.viewChangedAt) > settleTime
 }
 
-// IsTopRanked implements relay.Membership.
+// IsTopRanked implements relay.Membership. An isolated host does not know its rank.
 func (ms *membership) IsTopRanked(key string, n int) bool {
+	if ms.isolated() {
+		return false
+	}
 	self := ms.table.Self().ID
 	for _, m := range member.Rank(ms.table.View().Available(), key, n) {
 		if m.ID == self {
--- a/serve.go
+++ b/serve.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -230,6 +231,10 @@
 			break
 		}
 	}
+	if peers := h.otherPeers(); len(peers) > 0 && len(h.table.View().Members()) < 2 {
+		h.log.Named("member").Warn("no peer reached: the size of the fleet is assumed", "peers", peers,
+			"assumed_hosts", h.settings.Platform.AssumedHosts)
+	}
 	ticks := h.timer.Subscribe(ctx, joinPeriod)
 	for round := 1; ; round++ {
 		if len(h.table.View().Available()) < 2 || round%rejoinPeriods == 0 {
@@ -260,6 +265,11 @@
 	_ = group.Wait()
 }
 
+// otherPeers returns the peers of the settings in force other than this host.
+func (h *Host) otherPeers() []string {
+	return slices.DeleteFunc(slices.Clone(h.inForce.Load().Peers), func(address string) bool { return address == h.settings.PeerAddress })
+}
+
 // unknownAddresses returns up to maxJoinTargets addresses, at random, of hosts that are not available in the view. It
 // reads the platform's list only while no other host is available.
 func (h *Host) unknownAddresses() []string {
--- a/stand/site/executionlog.go
+++ b/stand/site/executionlog.go
@@ -20,8 +20,10 @@
 	executions map[string][]Execution
 	// replies holds every signed reply by its signature.
 	replies map[string]Reply
-	// arrivals counts the messages that reached the servers of each service, sentBy the messages that each host sent to servers.
+	// arrivals counts the messages that reached the servers of each service, arrivalsAt those that reached each server, and
+	// sentBy the messages that each host sent to servers.
 	arrivals   map[string]int
+	arrivalsAt map[string]int
 	sentBy     map[string]int
 	violations map[string]int
 	// activeOutages counts the faults in progress that keep hosts from learning the state of the store.
@@ -52,6 +54,7 @@
 		executions: make(map[string][]Execution),
 		replies:    make(map[string]Reply),
 		arrivals:   make(map[string]int),
+		arrivalsAt: make(map[string]int),
 		sentBy:     make(map[string]int),
 		violations: make(map[string]int),
 	}
@@ -78,10 +81,11 @@
 }
 
 // arrival counts a message from a host, the sender, to a server of the service.
-func (l *ExecutionLog) arrival(service, sender string) {
+func (l *ExecutionLog) arrival(service, server, sender string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.arrivals[service]++
+	l.arrivalsAt[server]++
 	l.sentBy[sender]++
 }
 
@@ -150,6 +154,13 @@
 	return l.arrivals[service]
 }
 
+// ArrivalsAt returns the number of messages that have reached a server, executed or not.
+func (l *ExecutionLog) ArrivalsAt(server string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.arrivalsAt[server]
+}
+
 // reply returns the reply with a signature.
 func (l *ExecutionLog) reply(signature string) (Reply, bool) {
 	l.mu.Lock()
--- a/stand/site/rules_test.go
+++ b/stand/site/rules_test.go
@@ -150,6 +150,69 @@
 	})
 }
 
+// TestIsolatedHostsStayWithinWarmupRate lets a cold server join under load from hosts of which some have peers that are all
+// down, so that they know no other host. A host without peers is the whole fleet and keeps its full rate.
+func TestIsolatedHostsStayWithinWarmupRate(t *testing.T) {
+	const rate = 10
+	cases := []struct {
+		name     string
+		isolated int
+		// least is the least number of requests that the cold server gets within the ten seconds of the test.
+		least int
+	}{
+		{name: "two of five hosts", isolated: 2},
+		{name: "none", least: 10 * rate},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var violations map[string]int
+			arrivals := 0
+			inRig(t, func(r *rig) {
+				for i := range r.site.Config.Services {
+					r.site.Config.Services[i].WarmupPerS = rate
+				}
+				r.site.Apply()
+				for n := range c.isolated {
+					down, err := r.site.Network.Address("east", "down")
+					must(r.t, err)
+					settings, err := r.site.Settings(fmt.Sprintf("isolated-%d", n), "east", down)
+					must(r.t, err)
+					r.hosts = append(r.hosts, r.start(settings))
+				}
+				if c.isolated == 0 {
+					r.leave(1)
+					r.leave(2)
+					r.leave(0)
+					settings, err := r.site.Settings("alone", "east")
+					must(r.t, err)
+					r.hosts = []*testHost{r.start(settings)}
+				}
+				time.Sleep(2 * settleTime)
+				r.site.Register("desk-0", "ready", 30*time.Second)
+				r.site.Server("desk-0").Set(WithMaxArrivalRate(rate*1.5 + 5))
+				time.Sleep(time.Second)
+				before := r.site.ExecutionLog.ArrivalsAt("desk-0")
+				done := make(chan tally, len(r.hosts))
+				for i := range r.hosts {
+					r.tasks.Go(func() error {
+						done <- r.load(i, oneHost, 1000, 10*time.Millisecond)
+						return nil
+					})
+				}
+				for range r.hosts {
+					<-done
+				}
+				arrivals = r.site.ExecutionLog.ArrivalsAt("desk-0") - before
+				violations = r.site.ExecutionLog.Violations()
+			})
+			Convey("The cold server never gets more in a second than all hosts together may send", t, func() {
+				So(violations, ShouldBeEmpty)
+				So(arrivals, ShouldBeGreaterThan, c.least)
+			})
+		})
+	}
+}
+
 // TestRetriesStayWithinBudget makes all servers refuse 70 percent of their requests, so that hosts have cause for many retries.
 func TestRetriesStayWithinBudget(t *testing.T) {
 	const n = 600
--- a/stand/site/server.go
+++ b/stand/site/server.go
@@ -221,7 +221,7 @@
 // answer handles one request and reports whether the connection stays open. It refuses a request for another server with 421.
 func (s *Server) answer(ctx context.Context, c net.Conn, request *fasthttp.Request) bool {
 	id := string(request.Header.Peek("X-Request-Id"))
-	s.log.arrival(s.service, stand.OwnerOf(c))
+	s.log.arrival(s.service, s.id, stand.OwnerOf(c))
 	if expected := string(request.Header.Peek("X-Expect-Instance")); expected != s.id {
 		return s.write(c, id, 421, "X-Instance-Id: "+s.id+"\r\n", nil)
 	}
--- a/stand/site/site.go
+++ b/stand/site/site.go
@@ -247,6 +247,7 @@
 		RetryWindow:   10 * time.Second,
 		WarmupFactor:  1.5,
 		WarmupSlack:   5,
+		AssumedHosts:  128,
 	}
 	for _, address := range []*string{
 		&settings.CallerAddress, &settings.OperatorAddress, &settings.PeerAddress,
