Heed servers that say in a reply that they leave

Change: a reply that says so, whatever its result, keeps further calls of this host from that start of the server (core/pool/notice.go): the picker skips it for first calls, hedges, mirrors and retries, queued calls end as not executed, calls in progress end normally, and its connections are closed. Searches count its shard as lacking that server. A new start under the same ID is used again. The word of another server at the address (421) is not heeded.

--- a/core/pool/call.go
+++ b/core/pool/call.go
@@ -19,6 +19,9 @@
 	// which may be that of Submit.
 	OnResult func(query.Result)
 
+	// incarnation is the start of the server for which the call was submitted.
+	incarnation int64
+
 	// The fields below are guarded by mu of the serverPool.
 	queuedAt time.Time
 	sentAt   time.Time
--- a/core/pool/conn.go
+++ b/core/pool/conn.go
@@ -43,5 +43,6 @@
 	Close bool
 	// IdleTimeout is the time for which the server keeps an idle connection open; 0 if it states none.
 	IdleTimeout time.Duration
+	Notice      Notice
 	Result      query.Result
 }
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -52,6 +52,7 @@
 	timer      *timer.Service
 	journal    *trace.Journal
 	countEvent func(what string)
+	notices    notices
 
 	mu    sync.Mutex
 	ctx   context.Context
@@ -113,6 +114,7 @@
 // a queued call is withdrawn, a call in progress may still be answered within the grace period. It reports whether the call
 // was withdrawn, or was refused because Run is not running.
 func (p *Pool) Submit(server route.Server, call *Call) (cancel func(grace time.Duration) (withdrawn bool)) {
+	call.incarnation = server.Incarnation
 	sp := p.serverPool(server)
 	if sp == nil {
 		call.OnResult(query.NotExecuted{
@@ -144,8 +146,9 @@
 	for _, sp := range removed {
 		sp.close()
 	}
+	now := time.Now()
 	for _, s := range servers {
-		if sp := p.serverPool(s); sp != nil {
+		if sp := p.serverPool(s); sp != nil && p.Accepts(s.ID, s.Incarnation, now) {
 			sp.EnsureOpen(p.minConns(s))
 		}
 	}
--- a/core/pool/reply.go
+++ b/core/pool/reply.go
@@ -53,7 +53,7 @@
 		sp.mu.Unlock()
 		return false
 	}
-	pc.closing = pc.closing || reply.Close || sp.closed
+	pc.closing = pc.closing || reply.Close || reply.Notice.Leaving || sp.closed
 	reusable := !pc.closing
 	pc.repliedEarly = pc.sending && reusable
 	repliedEarly := pc.repliedEarly
@@ -63,6 +63,7 @@
 		pc.staleAt = time.Now().Add(reply.IdleTimeout - idleMargin)
 	}
 	sp.mu.Unlock()
+	sp.heed(call, reply.Notice)
 	sp.deliver(call, reply.Result)
 	if !reusable {
 		return false
--- a/core/pool/serverpool.go
+++ b/core/pool/serverpool.go
@@ -54,6 +54,14 @@
 	sp.parent.observer.Started(call.Server, call.Kind)
 	sp.mu.Lock()
 	call.queuedAt = now
+	if r, restricted := sp.parent.notices.find(call.Server, call.incarnation, now); restricted {
+		call.ended = true
+		sp.mu.Unlock()
+		sp.deliver(call, query.NotExecuted{
+			Reason: r.reason,
+		})
+		return
+	}
 	pc := sp.takeIdle(now)
 	if pc != nil {
 		sp.assign(pc, call, now)
--- a/core/relay/coverage.go
+++ b/core/relay/coverage.go
@@ -3,23 +3,25 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"magnoliaworks/core/query"
+	"magnoliaworks/core/route"
 	"magnoliaworks/core/shed"
 	"magnoliaworks/core/topo"
 )
 
-// checkReachable refuses a search for which too few shards have a server. Nothing has been sent at this point.
+// checkReachable refuses a search for which too few shards have a server that accepts calls. Nothing has been sent at this point.
 func (e *execution) checkReachable() error {
 	target, ok := e.route.Target.(topo.ShardSet)
 	if !ok {
 		return nil
 	}
-	t := e.relay.table.Load()
+	t, now := e.relay.table.Load(), time.Now()
 	reachable := 0
 	for _, service := range target.Services {
-		if len(t.replicas[service]) > 0 {
+		if e.relay.acceptsAny(t, service, now) {
 			reachable++
 		}
 	}
@@ -32,6 +34,13 @@
 	}
 }
 
+// acceptsAny reports whether a server of a service accepts calls.
+func (r *Relay) acceptsAny(t *table, service string, now time.Time) bool {
+	return slices.ContainsFunc(t.replicas[service], func(s route.Server) bool {
+		return r.options.Pool.Accepts(s.ID, s.Incarnation, now)
+	})
+}
+
 // partialDue reports whether the answer is due although shards are unresolved.
 func (e *execution) partialDue() bool {
 	return e.answered > 0 && e.hasMinCoverage() && !time.Now().Before(e.partialAfter)
--- a/core/relay/table.go
+++ b/core/relay/table.go
@@ -43,6 +43,7 @@
 			Service:        s.Service,
 			Slots:          s.Slots,
 			MaxConnections: service.MaxConnections,
+			Incarnation:    s.Incarnation,
 			Homes:          homes,
 		}
 		t.servers = append(t.servers, candidate)
@@ -163,12 +164,22 @@
 	return r.retryBudget(service).TryExtra(time.Now(), part*b.RetryShare, part*b.RetrySlack/hosts)
 }
 
-// canAdmit reports whether this host may send a call to a server now; only cold servers have a limit.
+// canAdmit reports whether this host may send a call to a server now: the server has not asked for none, and its limit, which
+// only cold servers have, is not reached.
 func (r *Relay) canAdmit(t *table, id string, now time.Time) bool {
+	if !r.accepts(t, id, now) {
+		return false
+	}
 	perSecond, cold := r.warmupLimit(t, id, now)
 	return !cold || r.warmupRate(id).CanAllow(now, perSecond)
 }
 
+// accepts reports whether a server has not asked this host to send it no more calls.
+func (r *Relay) accepts(t *table, id string, now time.Time) bool {
+	server, ok := t.state.Server(id)
+	return ok && r.options.Pool.Accepts(id, server.Incarnation, now)
+}
+
 // admit reports whether this host may send a call to a server now, and counts the call while the server is cold.
 func (r *Relay) admit(t *table, id string, now time.Time) bool {
 	perSecond, cold := r.warmupLimit(t, id, now)
--- a/core/route/server.go
+++ b/core/route/server.go
@@ -16,6 +16,8 @@
 	Slots int
 	// MaxConnections is the largest number of connections that the server accepts, over all hosts.
 	MaxConnections int
+	// Incarnation identifies the start of the server's process, for messages; a server may start again under its ID.
+	Incarnation int64
 	// OutOfService is set when operators have taken the server or its data centre out of service.
 	OutOfService bool
 	// Homes are the home host, which keeps the server's queue and connections, and its standby, in this order;
--- a/stand/site/server.go
+++ b/stand/site/server.go
@@ -27,6 +27,15 @@
 	cancelGrace = 500 * time.Millisecond
 )
 
+const (
+	// leavingGrace is the time after which a host has heeded that a server leaves.
+	leavingGrace = 200 * time.Millisecond
+	// quietGrace is the time after which a host has heeded a Retry-After header; maxQuietArrivals requests are permitted even
+	// then.
+	quietGrace       = 500 * time.Millisecond
+	maxQuietArrivals = 2
+)
+
 // lateCopyDelay is the time between a reply and its copy, shorter than requests take, so that the next reply follows it.
 const lateCopyDelay = 3 * time.Millisecond
 
@@ -82,6 +91,12 @@
 	}
 }
 
+// quiet is the time for which a server wants nothing from a host, and the number of requests that came in spite of that.
+type quiet struct {
+	from, until time.Time
+	arrivals    int
+}
+
 // Server is a fake backend server.
 type Server struct {
 	id      string
@@ -102,6 +117,15 @@
 	drainingSince  time.Time
 	evacuatedSince time.Time
 	maxArrivalRate float64
+	// born is the Unix millisecond of the server's start, as it registers it.
+	born int64
+	// leaving makes all replies say that the server leaves; leavingTold holds when each host was first told.
+	leaving     bool
+	leavingTold map[string]time.Time
+	// retryAfter, if set, makes the server turn all requests away with 503 and that header; quiets holds, for each host that
+	// was told, the time for which the server wants nothing from it.
+	retryAfter     string
+	quiets         map[string]quiet
 	recentArrivals []time.Time
 	pausedUntil    time.Time
 	// cancelled counts the requests whose connection closed while they ran.
@@ -161,6 +185,19 @@
 	return func(s *Server) { s.replyFault, s.faultShare = fault, share }
 }
 
+// WithLeaving returns a change that makes all replies say that the server leaves, or no longer. The server counts a violation
+// for each request from a host later than leavingGrace after it has told that host.
+func WithLeaving(leaving bool) func(*Server) {
+	return func(s *Server) { s.leaving, s.leavingTold = leaving, make(map[string]time.Time) }
+}
+
+// WithRetryAfter returns a change that makes the server turn all requests away with 503 and that Retry-After header, in
+// seconds, or none if it is empty. The server counts a violation for each request beyond maxQuietArrivals that comes from a
+// host between quietGrace after it has told that host and the end of that time.
+func WithRetryAfter(value string) func(*Server) {
+	return func(s *Server) { s.retryAfter = value }
+}
+
 // WithServiceTime returns a change that sets the mean time that a request takes.
 func WithServiceTime(d time.Duration) func(*Server) { return func(s *Server) { s.serviceTime = d } }
 
@@ -220,12 +257,15 @@
 
 // answer handles one request and reports whether the connection stays open. It refuses a request for another server with 421.
 func (s *Server) answer(ctx context.Context, c net.Conn, request *fasthttp.Request) bool {
-	id := string(request.Header.Peek("X-Request-Id"))
-	s.log.arrival(s.service, s.id, stand.OwnerOf(c))
+	id, sender := string(request.Header.Peek("X-Request-Id")), stand.OwnerOf(c)
+	s.log.arrival(s.service, s.id, sender)
 	if expected := string(request.Header.Peek("X-Expect-Instance")); expected != s.id {
 		return s.write(c, id, 421, "X-Instance-Id: "+s.id+"\r\n", nil)
 	}
 	fault, serviceTime := s.admit()
+	if header, ok := s.heed(sender); ok {
+		return s.write(c, id, 503, "X-Not-Executed: 1\r\n"+header, nil)
+	}
 	if fault == Shedding {
 		return s.write(c, id, 503, "X-Not-Executed: 1\r\n", nil)
 	}
@@ -241,6 +281,48 @@
 	return s.reply(c, id, fault)
 }
 
+// heed counts violations by a host that was told to send nothing more, and returns the Retry-After header line if the server
+// turns its requests away.
+func (s *Server) heed(sender string) (header string, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if told := s.leavingTold[sender]; !told.IsZero() && now.Sub(told) > leavingGrace {
+		s.log.violation("leaving")
+	}
+	if q, told := s.quiets[sender]; told && now.After(q.from) && now.Before(q.until) {
+		if q.arrivals++; q.arrivals > maxQuietArrivals {
+			s.log.violation("quiet")
+		}
+		s.quiets[sender] = q
+	}
+	if s.retryAfter == "" {
+		return "", false
+	}
+	seconds, err := strconv.ParseFloat(s.retryAfter, 64)
+	if err == nil {
+		s.quiets[sender] = quiet{
+			from:     now.Add(quietGrace),
+			until:    now.Add(time.Duration(seconds * float64(time.Second))),
+			arrivals: s.quiets[sender].arrivals,
+		}
+	}
+	return "Retry-After: " + s.retryAfter + "\r\n", true
+}
+
+// leavingField returns the header line of a server that leaves, and records that the host of the connection is told.
+func (s *Server) leavingField(c net.Conn) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.leaving {
+		return ""
+	}
+	if sender := stand.OwnerOf(c); s.leavingTold[sender].IsZero() {
+		s.leavingTold[sender] = time.Now()
+	}
+	return "Server-Leaving: 1\r\n"
+}
+
 // admit records an arrival, counts the violations that it means and returns the fault and the time of its reply.
 func (s *Server) admit() (ReplyFault, time.Duration) {
 	s.mu.Lock()
@@ -323,7 +405,7 @@
 
 // write sends a response with additional header fields and reports whether that succeeded.
 func (s *Server) write(c net.Conn, id string, status int, fields string, body []byte) bool {
-	_, err := c.Write([]byte(replyText(id, status, fields, body)))
+	_, err := c.Write([]byte(replyText(id, status, s.leavingField(c)+fields, body)))
 	return err == nil
 }
 
--- a/stand/site/site.go
+++ b/stand/site/site.go
@@ -138,6 +138,8 @@
 		log:         s.ExecutionLog,
 		tasks:       &s.Tasks,
 		serviceTime: serviceTime,
+		born:        1,
+		quiets:      make(map[string]quiet),
 		random:      rand.New(rand.NewPCG(uint64(len(s.servers)), 7)),
 	}
 	if err := server.Start(); err != nil {
@@ -171,7 +173,7 @@
 		State:        state,
 		WarmupLeftMS: warmupLeft.Milliseconds(),
 		Sequence:     s.sequence,
-		Born:         1,
+		Born:         server.born,
 	})
 }
 
@@ -185,6 +187,12 @@
 	s.Register(id, "draining", 0)
 }
 
+// Reboot registers a server as ready after a new start under the same ID and at the same address.
+func (s *Site) Reboot(id string) {
+	s.servers[id].Set(func(s *Server) { s.born++ })
+	s.Register(id, "ready", 0)
+}
+
 // Undrain ends the draining of a server and registers it as ready.
 func (s *Site) Undrain(id string) {
 	s.servers[id].Set(func(s *Server) { s.drainingSince = time.Time{} })
