End a stop while callers keep connecting

Cause: while fewer than half of a data centre's hosts are ready, the load balancer goes on sending them connections. Change: the gateway accepts connections for half of the time that is left to the stop, then closes its listener and answers what it has accepted; both listeners are shut down in any case. Measured: go test ./stand/site -run TestStopEndsWhileCallersKeepComing before: no end within 40 s of real time; after: ok, no request cut, three hosts end within the stop limit of 5 s. Not tried with processes.

--- a/gateway.go
+++ b/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	stderrors "errors"
 	"net"
 	"runtime"
 	"runtime/debug"
@@ -28,6 +29,9 @@
 	// gcPercent is the growth of the heap between two garbage collections in percent, as GOGC. It may be large, since the
 	// live heap of a host is small.
 	gcPercent = 300
+	// acceptShare is the share of the time left to a stop for which the host waits for callers to stop connecting. The rest is
+	// for the requests that it has accepted.
+	acceptShare = 0.5
 	// These TCP keep-alive settings bound the time until a silent connection to the store is detected: the idle time,
 	// and then one interval for each unanswered probe.
 	storeKeepAliveIdle     = time.Second
@@ -133,13 +137,18 @@
 	return nil
 }
 
-// stop shuts the listeners down once every accepted request is answered, or ctx ends.
+// stop shuts the listeners down once every accepted request is answered, or ctx ends. While callers keep connecting, as the load
+// balancer lets them when too few hosts are ready, it accepts connections for a share of the time, and then answers what it has
+// accepted.
 func (g *gateway) stop(ctx context.Context) error {
-	g.listener.Drain(ctx)
-	if err := g.listener.Shutdown(ctx); err != nil {
-		return err
+	accepting := ctx
+	if deadline, ok := ctx.Deadline(); ok {
+		limited, cancel := context.WithTimeout(ctx, time.Duration(acceptShare*float64(time.Until(deadline))))
+		defer cancel()
+		accepting = limited
 	}
-	return g.readiness.Shutdown(ctx)
+	g.listener.Drain(accepting)
+	return stderrors.Join(g.listener.Shutdown(ctx), g.readiness.Shutdown(ctx))
 }
 
 // dialStore opens a connection to the store, with TCP keep-alive probes that detect a silent store.
--- a/stand/site/rules_test.go
+++ b/stand/site/rules_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sync/errgroup"
 )
 
 // TestFaultyRepliesDoNotReachCallers injects each fault into 30 percent of the servers' replies.
@@ -344,6 +346,70 @@
 	})
 }
 
+// TestStopEndsWhileCallersKeepComing stops the three hosts of a data centre one second apart, while the load balancer goes on
+// sending them new connections, as it does when too few hosts are ready.
+func TestStopEndsWhileCallersKeepComing(t *testing.T) {
+	const gap = 37500 * time.Microsecond
+	cut, answered := 0, 0
+	var took []time.Duration
+	inRig(t, func(r *rig) {
+		r.add("more-0", "east")
+		r.add("more-1", "east")
+		time.Sleep(settleTime)
+		for _, server := range r.site.servers {
+			server.Set(WithServiceTime(220 * time.Millisecond))
+		}
+		var ended atomic.Int64
+		times := make(chan time.Duration, 3)
+		for n, i := range []int{0, 3, 4} {
+			r.tasks.Go(func() error {
+				time.Sleep(time.Duration(n+1) * time.Second)
+				began := time.Now()
+				r.leave(i)
+				times <- time.Since(began)
+				ended.Add(1)
+				return nil
+			})
+		}
+		var callers errgroup.Group
+		var cuts, answers atomic.Int64
+		for n := 0; ended.Load() < 3 && n < 1000; n++ {
+			i := []int{0, 3, 4}[n%3]
+			callers.Go(func() error {
+				c, err := r.site.Dial(r.hosts[i].settings.Platform.CallerAddress)
+				if err != nil {
+					return nil
+				}
+				defer c.Close()
+				request := r.newRequest(oneHost)
+				if c.Send(request) != nil {
+					return nil
+				}
+				switch answer, err := c.Receive(request); {
+				case err == nil && answer.Status == 200:
+					answers.Add(1)
+				case err != nil && r.site.ExecutionLog.Runs(request.ID) > 0, err == nil && answer.Status == 502:
+					cuts.Add(1)
+				}
+				return nil
+			})
+			time.Sleep(gap / 3)
+		}
+		must(t, callers.Wait())
+		cut, answered = int(cuts.Load()), int(answers.Load())
+		for range 3 {
+			took = append(took, <-times)
+		}
+	})
+	Convey("No request that was passed on is cut, and each host ends by itself within its stop limit", t, func() {
+		So(cut, ShouldEqual, 0)
+		So(answered, ShouldBeGreaterThan, 100)
+		for _, d := range took {
+			So(d, ShouldBeLessThanOrEqualTo, 5*time.Second)
+		}
+	})
+}
+
 // TestServersRemovedDuringOutageStayInUse deletes the entries of a shard's servers while the store answers 503;
 // one server registers again after the outage. Hosts must hold back the removals until the servers had time to register again.
 func TestServersRemovedDuringOutageStayInUse(t *testing.T) {
