Split the files that grew, and count all arrivals in a quiet time

Cause: reading the change as a newcomer: serve.go and the stand-in for backend servers had passed 300 and 400 lines, and lines of comment had outgrown the width. The stand-in began to count anew with each request that it turned away, so that it missed most of those sent in a quiet time. Change: joining moves to join.go, what servers say about further requests to stand/site/notices.go; a quiet time in force goes on when a host is told again. No product behaviour changes.

--- a/stand/site/server.go
+++ b/stand/site/server.go
@@ -27,15 +27,6 @@
 	cancelGrace = 500 * time.Millisecond
 )
 
-const (
-	// leavingGrace is the time after which a host has heeded that a server leaves.
-	leavingGrace = 200 * time.Millisecond
-	// quietGrace is the time after which a host has heeded a Retry-After header; maxQuietArrivals requests are permitted even
-	// then.
-	quietGrace       = 500 * time.Millisecond
-	maxQuietArrivals = 2
-)
-
 // lateCopyDelay is the time between a reply and its copy, shorter than requests take, so that the next reply follows it.
 const lateCopyDelay = 3 * time.Millisecond
 
@@ -91,12 +82,6 @@
 	}
 }
 
-// quiet is the time for which a server wants nothing from a host, and the number of requests that came in spite of that.
-type quiet struct {
-	from, until time.Time
-	arrivals    int
-}
-
 // Server is a fake backend server.
 type Server struct {
 	id      string
@@ -126,8 +111,8 @@
 	// progress; it turns others away.
 	slots   int
 	running int
-	// retryAfter, if set, is the Retry-After header with which the server turns requests away, all unless slots is set; quiets holds, for each host that
-	// was told, the time for which the server wants nothing from it.
+	// retryAfter, if set, is the Retry-After header with which the server turns requests away, all unless slots is set; quiets
+	// holds, for each host that was told, the time for which the server wants nothing from it.
 	retryAfter     string
 	quiets         map[string]quiet
 	recentArrivals []time.Time
@@ -189,19 +174,6 @@
 	return func(s *Server) { s.replyFault, s.faultShare = fault, share }
 }
 
-// WithLeaving returns a change that makes all replies say that the server leaves, or no longer. The server counts a violation
-// for each request from a host later than leavingGrace after it has told that host.
-func WithLeaving(leaving bool) func(*Server) {
-	return func(s *Server) { s.leaving, s.leavingTold = leaving, make(map[string]time.Time) }
-}
-
-// WithRetryAfter returns a change that sets the Retry-After header, in seconds, with which the server turns requests away: all
-// of them unless it has slots, and none without slots if the header is empty. The server counts a violation for each request beyond maxQuietArrivals that comes from a
-// host between quietGrace after it has told that host and the end of that time.
-func WithRetryAfter(value string) func(*Server) {
-	return func(s *Server) { s.retryAfter = value }
-}
-
 // WithSlots returns a change that makes the server execute n requests at a time and turn others away.
 func WithSlots(n int) func(*Server) { return func(s *Server) { s.slots = n } }
 
@@ -289,51 +261,6 @@
 	return s.reply(c, id, fault)
 }
 
-// turnsAway counts violations by a host that was told to send nothing more. It reports whether the server turns the request
-// away, with the Retry-After header line, if any, and otherwise counts it as running.
-func (s *Server) turnsAway(sender string) (header string, ok bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
-	if told := s.leavingTold[sender]; !told.IsZero() && now.Sub(told) > leavingGrace {
-		s.log.violation("leaving")
-	}
-	if q, told := s.quiets[sender]; told && now.After(q.from) && now.Before(q.until) {
-		if q.arrivals++; q.arrivals > maxQuietArrivals {
-			s.log.violation("quiet")
-		}
-		s.quiets[sender] = q
-	}
-	full := s.slots > 0 && s.running >= s.slots
-	if !full && (s.slots > 0 || s.retryAfter == "") {
-		s.running++
-		return "", false
-	}
-	if s.retryAfter == "" {
-		return "", true
-	}
-	if seconds, err := strconv.ParseFloat(s.retryAfter, 64); err == nil && seconds > 0 {
-		s.quiets[sender] = quiet{
-			from:  now.Add(quietGrace),
-			until: now.Add(time.Duration(seconds * float64(time.Second))),
-		}
-	}
-	return "Retry-After: " + s.retryAfter + "\r\n", true
-}
-
-// leavingField returns the header line of a server that leaves, and records that the host of the connection is told.
-func (s *Server) leavingField(c net.Conn) string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.leaving {
-		return ""
-	}
-	if sender := stand.OwnerOf(c); s.leavingTold[sender].IsZero() {
-		s.leavingTold[sender] = time.Now()
-	}
-	return "Server-Leaving: 1\r\n"
-}
-
 // admit records an arrival, counts the violations that it means and returns the fault and the time of its reply.
 func (s *Server) admit() (ReplyFault, time.Duration) {
 	s.mu.Lock()
