Log what brought a configuration, and requests without a route

Change: a request that no route matches, or that comes before the first configuration, is recorded and counted with the version in force, at most 4 a second. Objects name what brought them; full lists are logged with the revision they state and their newest object. Measured: TestRefusalWithoutRouteIsTraced failed before (no record); go test ./core/watch ./core/relay passes. No decision changes.

--- a/core/relay/record.go
+++ b/core/relay/record.go
@@ -11,7 +11,8 @@
 const (
 	// sampleInterval is the number of messages answered completely and in time of which one is logged.
 	sampleInterval = 128
-	// maxLoggedPerSecond bounds the messages of one second that are logged with all their steps.
+	// maxLoggedPerSecond bounds the messages of one second that are logged with all their steps, and those that are logged
+	// although no route was found for them.
 	maxLoggedPerSecond = 4
 )
 
@@ -43,6 +44,25 @@
 	})
 }
 
+// recordUnmatched counts and logs a message that was refused before a route was found for it. Such messages have a bound of
+// their own, so that callers of paths that don't exist displace no other message from the log.
+func (r *Relay) recordUnmatched(m *query.Message, version uint64, err error) {
+	took := time.Since(m.Arrived)
+	r.options.Meter.CountMessage("unknown", query.Outcome(err), took)
+	if !r.unmatchedRate.Allow(time.Now(), maxLoggedPerSecond) {
+		r.options.Meter.CountEvent("message_not_logged")
+		return
+	}
+	r.options.Journal.RecordRequest(trace.Request{
+		ID:      m.ID,
+		At:      m.Arrived,
+		Took:    took,
+		Outcome: query.Outcome(err),
+		Cause:   err.Error(),
+		Version: version,
+	})
+}
+
 // targetLabel returns the metric label for the kind of target, or "bundle" for what is gathered for another host.
 // There are too many routes for a label of their own.
 func (e *execution) targetLabel() string {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -85,9 +85,11 @@
 	inProgress atomic.Int64
 	started    time.Time
 	losses     shed.Losses
-	// succeeded counts the messages answered completely and in time; logRate bounds the messages that are logged.
+	// succeeded counts the messages answered completely and in time; logRate bounds the messages that are logged, and
+	// unmatchedRate those for which no route was found.
 	succeeded     atomic.Uint64
 	logRate       limit.Rate
+	unmatchedRate limit.Rate
 	mu            sync.RWMutex
 	retryBudgets  map[string]*limit.WindowBudget
 	warmupRates   map[string]*limit.Rate
@@ -161,17 +163,21 @@
 	}()
 	config := r.table.Load().state.Config()
 	if config == nil {
-		return nil, query.NotRun{
+		err := query.NotRun{
 			Reason:     "no configuration received yet",
 			RetryAfter: shed.StartRetryAfter(time.Since(r.started), rand.Float64()),
 		}
+		r.recordUnmatched(m, 0, err)
+		return nil, err
 	}
 	matched, ok := config.Match(m.Host, m.Path)
 	if !ok {
-		return nil, query.Invalid{
+		err := query.Invalid{
 			Field:  "path",
 			Reason: "no route of host " + m.Host + " matches the path",
 		}
+		r.recordUnmatched(m, config.Version, err)
+		return nil, err
 	}
 	e := r.newExecution(caller, m, matched, r.services(matched))
 	e.configVersion = config.Version
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -82,6 +82,48 @@
 	})
 }
 
+// TestRefusalWithoutRouteIsTraced refuses a request that no route of the configuration in force matches, as a host does that
+// lacks a newer version, and one that comes before any configuration. Nothing but its record tells under which version.
+func TestRefusalWithoutRouteIsTraced(t *testing.T) {
+	cases := []struct {
+		name    string
+		config  *topo.Config
+		version uint64
+		outcome string
+		cause   string
+	}{
+		{name: "before the first configuration", outcome: "not_run", cause: "no configuration received yet"},
+		{
+			name: "no matching route", config: topo.NewConfig(7, nil, nil, topo.Limits{}), version: 7,
+			outcome: "invalid", cause: `no route of host h matches the path`,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			Convey("The record names the version and the cause", t, func() {
+				r, state := newRelay(singleHost{}, nil)
+				if c.config != nil {
+					state.Update(func(s *topo.State) *topo.State { return s.WithConfig(c.config) })
+					r.Refresh()
+				}
+				_, err := r.Handle(singleHost{}, &query.Message{
+					ID:      "r",
+					Host:    "h",
+					Path:    "/",
+					Arrived: time.Now(),
+					Timeout: time.Second,
+				})
+				So(err, ShouldNotBeNil)
+				record, ok := r.options.Journal.Request("r")
+				So(ok, ShouldBeTrue)
+				So(record.Version, ShouldEqual, c.version)
+				So(record.Outcome, ShouldEqual, c.outcome)
+				So(record.Cause, ShouldContainSubstring, c.cause)
+			})
+		})
+	}
+}
+
 // panickyMembership panics when a message needs the number of hosts.
 type panickyMembership struct{ singleHost }
 
--- a/core/watch/apply.go
+++ b/core/watch/apply.go
@@ -7,19 +7,42 @@
 	"magnoliaworks/core/topo"
 )
 
+// origin tells in the journal by what an object came: a kind of call to the store or the feed of another host.
+type origin string
+
+// The origins.
+const (
+	byList      origin = "a list"
+	byStaleList origin = "a stale list"
+	byWatch     origin = "a watch"
+	byHost      origin = "another host"
+	byRelease   origin = "the end of the time for which the removal was held"
+)
+
 // applyList applies a full list from the store.
-func (w *Watcher) applyList(kind Kind, list Changes) {
+func (w *Watcher) applyList(kind Kind, list Changes, by origin) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.replace(kind, list)
+	w.journal.Record("follow", kind.String(), "listed", fmt.Sprintf("%d objects up to revision %d by %s that states revision %d",
+		len(list.Objects), newestRevision(list.Objects), by, list.Revision))
+	w.replace(kind, list, by)
+}
+
+// newestRevision returns the newest revision of the objects, and 0 if there are none.
+func newestRevision(objects []Object) uint64 {
+	var newest uint64
+	for _, o := range objects {
+		newest = max(newest, o.Revision)
+	}
+	return newest
 }
 
 // replace applies a full list. Known objects that it lacks are removed, unless their revision is newer than the list's: in
 // that case the list is a stale read. The caller holds mu.
-func (w *Watcher) replace(kind Kind, list Changes) {
+func (w *Watcher) replace(kind Kind, list Changes, by origin) {
 	objects := append(w.cache.removals(kind, list.Objects, list.Revision), list.Objects...)
 	w.cache.revisions[kind] = list.Revision
-	w.applyNewer(kind, w.holdRemovals(kind, objects))
+	w.applyNewer(kind, w.holdRemovals(kind, objects), by)
 }
 
 // applyChanges applies changes that a watch returned.
@@ -27,7 +50,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.cache.revisions[kind] = max(w.cache.revisions[kind], changes.Revision)
-	w.applyNewer(kind, w.holdRemovals(kind, changes.Objects))
+	w.applyNewer(kind, w.holdRemovals(kind, changes.Objects), byWatch)
 }
 
 // holdRemovals puts removals of servers into held while those servers may still register again after an outage, and
@@ -53,7 +76,7 @@
 
 // applyNewer applies those objects that are newer than their known revision, publishes the result to the state and wakes
 // waiting feeds. The caller holds mu.
-func (w *Watcher) applyNewer(kind Kind, objects []Object) {
+func (w *Watcher) applyNewer(kind Kind, objects []Object, by origin) {
 	applied := false
 	for _, o := range objects {
 		if !w.cache.isNewer(kind, o) {
@@ -61,7 +84,7 @@
 		}
 		applied = true
 		w.cache.put(kind, o)
-		w.applyObject(kind, o)
+		w.applyObject(kind, o, by)
 	}
 	if !applied {
 		return
@@ -82,12 +105,12 @@
 }
 
 // applyObject applies one object; servers and evacuations are published to the state by applyNewer.
-func (w *Watcher) applyObject(kind Kind, o Object) {
+func (w *Watcher) applyObject(kind Kind, o Object, by origin) {
 	switch kind {
 	case Configuration:
-		w.applyConfig(o)
+		w.applyConfig(o, by)
 	case Servers:
-		w.applyServer(o)
+		w.applyServer(o, by)
 	case Evacuations:
 		event := "taken out"
 		if o.Deleted {
@@ -96,12 +119,12 @@
 		} else {
 			w.evacuated[o.Name] = true
 		}
-		w.journal.Record("follow", o.Name, event, revisionText(o))
+		w.journal.Record("follow", o.Name, event, revisionText(o, by))
 	}
 }
 
 // applyConfig stores a configuration and publishes it once the host has started. The current one stays if it was removed or the new one can't be decoded.
-func (w *Watcher) applyConfig(o Object) {
+func (w *Watcher) applyConfig(o Object, by origin) {
 	if o.Deleted {
 		w.journal.Record("follow", o.Name, "kept in force", "the operator's configuration was removed")
 		return
@@ -111,16 +134,16 @@
 		w.journal.Record("follow", o.Name, "ignored", err.Error())
 		return
 	}
-	w.config = config
+	w.config, w.configCause = config, revisionText(o, by)
 	if w.started {
-		w.publishConfig(revisionText(o))
+		w.publishConfig()
 	}
 }
 
 // publishConfig puts the newest configuration into force. The caller holds mu.
-func (w *Watcher) publishConfig(cause string) {
+func (w *Watcher) publishConfig() {
 	w.state.Update(func(s *topo.State) *topo.State { return s.WithConfig(w.config) })
-	w.journal.Record("follow", "configuration", fmt.Sprintf("version %d in force", w.config.Version), cause)
+	w.journal.Record("follow", "configuration", fmt.Sprintf("version %d in force", w.config.Version), w.configCause)
 }
 
 // start publishes the configuration from now on. Until then the host has none and takes no requests.
@@ -130,19 +153,19 @@
 	w.started = true
 	w.journal.Record("follow", "store", "compared with other hosts", cause)
 	if w.config != nil {
-		w.publishConfig(cause)
+		w.publishConfig()
 	}
 }
 
 // applyServer applies a registration. One that can't be decoded removes the server; one that the server wrote before the
 // known registration is ignored.
-func (w *Watcher) applyServer(o Object) {
+func (w *Watcher) applyServer(o Object, by origin) {
 	delete(w.held, o.Name)
 	known, ok := w.registrations[o.Name]
 	if o.Deleted {
 		delete(w.registrations, o.Name)
 		if ok {
-			w.journal.Record("follow", o.Name, "gone", revisionText(o))
+			w.journal.Record("follow", o.Name, "gone", revisionText(o, by))
 		}
 		return
 	}
@@ -158,7 +181,7 @@
 	}
 	w.registrations[o.Name] = r
 	if !ok || known.Server.Draining != r.Server.Draining || known.Server.Incarnation != r.Server.Incarnation {
-		w.journal.Record("follow", o.Name, stateName(r.Server), revisionText(o))
+		w.journal.Record("follow", o.Name, stateName(r.Server), revisionText(o, by))
 	}
 }
 
@@ -188,4 +211,6 @@
 	return "serving"
 }
 
-func revisionText(o Object) string { return fmt.Sprintf("revision %d", o.Revision) }
+func revisionText(o Object, by origin) string {
+	return fmt.Sprintf("revision %d, brought by %s", o.Revision, by)
+}
--- a/core/watch/feed.go
+++ b/core/watch/feed.go
@@ -249,7 +249,7 @@
 			objects = append(w.cache.removals(kind, objects, update.Revisions[kind]), objects...)
 		}
 		w.cache.revisions[kind] = max(w.cache.revisions[kind], update.Revisions[kind])
-		w.applyNewer(kind, newerThan(objects, update.After[kind]))
+		w.applyNewer(kind, newerThan(objects, update.After[kind]), byHost)
 	}
 }
 
--- a/core/watch/feed_test.go
+++ b/core/watch/feed_test.go
@@ -65,7 +65,7 @@
 		w.applyList(Servers, Changes{
 			Revision: 10,
 			Objects:  []Object{{Name: "first", Revision: 5}, {Name: "last", Revision: 14}},
-		})
+		}, byList)
 		So(w.known()[Servers], ShouldEqual, 10)
 		w.applyUpdate(Update{
 			Full:      true,
--- a/core/watch/verify.go
+++ b/core/watch/verify.go
@@ -91,7 +91,7 @@
 	if known := w.cache.revisions[kind]; known == 0 || list.Revision <= known {
 		return false
 	}
-	w.replace(kind, list)
+	w.replace(kind, list, byStaleList)
 	return true
 }
 
--- a/core/watch/watcher.go
+++ b/core/watch/watcher.go
@@ -72,9 +72,11 @@
 	held          map[string]heldRemoval
 	registrations map[string]Registration
 	evacuated     map[string]bool
-	// config is the newest configuration. It is published once started is set, when compareAtStart has ended.
-	config  *topo.Config
-	started bool
+	// config is the newest configuration, and configCause tells what brought it. It is published once started is set, when
+	// compareAtStart has ended.
+	config      *topo.Config
+	configCause string
+	started     bool
 	// lag is set while this host lacks a change that another host has announced.
 	lag *lag
 }
@@ -174,7 +176,11 @@
 		if err != nil {
 			return errors.Wrapf(err, "list %s", kind)
 		}
-		w.applyList(kind, changes)
+		by := byList
+		if stale {
+			by = byStaleList
+		}
+		w.applyList(kind, changes, by)
 		return nil
 	}
 	watchCtx, cancel := context.WithCancel(ctx)
@@ -253,7 +259,7 @@
 			delete(w.held, name)
 		}
 	}
-	w.applyNewer(Servers, due)
+	w.applyNewer(Servers, due, byRelease)
 }
 
 // jitter returns a random duration between 0.5 d and 1.5 d, so that hosts don't retry all at once after an outage.
