--- a/stand/site/objecthandler.go
+++ b/stand/site/objecthandler.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"slices"
 	"strconv"
@@ -133,6 +134,10 @@
 			c.SetStatusCode(fasthttp.StatusGone)
 			return
 		case o.stalls(stand.OwnerOf(c.Conn()), kind) && time.Now().Before(deadline):
+		case len(events) > 0 && o.losesWatchAnswers():
+			c.HijackSetNoResponse(true)
+			c.Hijack(func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
+			return
 		case len(events) > 0 || !time.Now().Before(deadline):
 			reply(c, watchReply{
 				Events: events,
--- a/stand/site/objectstore.go
+++ b/stand/site/objectstore.go
@@ -54,7 +54,12 @@
 	// are up to date.
 	stale         map[string]map[string]object
 	staleRevision uint64
-	http          *fasthttp.Server
+	// staleReads describes stale lists otherwise, and versions holds the former versions of objects for them, by kind and name.
+	staleReads staleReads
+	versions   map[string]map[string][]version
+	// losesWatches makes answers to watches that have events get lost.
+	losesWatches bool
+	http         *fasthttp.Server
 }
 
 // meta identifies a version of an object, in the platform's format.
@@ -84,6 +89,7 @@
 		watchers: make(map[string]bool),
 		refused:  make(map[string]bool),
 		stalled:  make(map[string][]string),
+		versions: make(map[string]map[string][]version),
 		revision: 1,
 	}
 	o.http = &fasthttp.Server{
@@ -129,6 +135,7 @@
 		Spec: spec,
 	}
 	o.kinds[kind][name] = stored
+	o.recordVersion(kind, stored, false)
 	o.history = append(o.history, event{
 		kind:   kind,
 		Object: stored,
@@ -146,6 +153,7 @@
 	delete(o.kinds[kind], name)
 	o.revision++
 	stored.Meta.Revision = o.revision
+	o.recordVersion(kind, stored, true)
 	o.history = append(o.history, event{
 		kind:    kind,
 		Object:  stored,
@@ -230,12 +238,33 @@
 
 // listed returns the objects of a kind, and the revision, that a list returns. The caller holds mu.
 func (o *ObjectStore) listed(kind string, stale bool) (map[string]object, uint64) {
-	if stale && o.stale != nil {
+	switch {
+	case stale && o.stale != nil:
 		return o.stale[kind], o.staleRevision
+	case stale && o.staleReads.age > 0:
+		objects, revision := o.objectsAt(kind, time.Now().Add(-o.staleReads.age))
+		if o.staleReads.presentAsOf {
+			revision = o.revision
+		}
+		return objects, revision
 	}
 	return o.kinds[kind], o.revision
 }
 
+// LoseWatchAnswers makes the answers to watches that have events get lost, or no longer. A connection on which one was lost
+// returns nothing further.
+func (o *ObjectStore) LoseWatchAnswers(lose bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.losesWatches = lose
+}
+
+func (o *ObjectStore) losesWatchAnswers() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.losesWatches
+}
+
 // deafTime is the time after CutWatches within which a new watch is accepted but hears nothing.
 const deafTime = 20 * time.Millisecond
 
