Take nothing as known on the word of a stale list

Callers were refused, or their requests run by the old service, on hosts that had started near a change or whose watch had lost an answer, until the next version. A stale list counted as complete up to its as_of; if its data was older, the version in between was never asked for, and comparing with other hosts found nothing newer than as_of. What such a list lacked counted as removed: a data centre that was taken out got requests again. Ruled out as needed for it: other hosts, since one host alone shows it, and lost answers, since a start is enough. Change: a stale list is complete up to its newest object at most, from where the watch goes on; an empty one is followed by a list that isn't stale. Whether a watch has missed changes is asked by a watch that doesn't wait. The changes of all kinds account together for the store's one counter, so that a kind whose watch is silent is known to be current and isn't asked for. A host of an earlier build may still state a false revision to others by its feed.

--- a/core/watch/apply.go
+++ b/core/watch/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"magnoliaworks/core/topo"
@@ -15,6 +16,7 @@
 	byList      origin = "a list"
 	byStaleList origin = "a stale list"
 	byWatch     origin = "a watch"
+	byCheck     origin = "a check of the watch"
 	byHost      origin = "another host"
 	byRelease   origin = "the end of the time for which the removal was held"
 )
@@ -24,8 +26,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.journal.Record("follow", kind.String(), "listed", fmt.Sprintf("%d objects up to revision %d by %s that states revision %d",
-		len(list.Objects), newestRevision(list.Objects), by, list.Revision))
-	w.replace(kind, list, by)
+		len(list.Objects), newestRevision(list.Objects), by, list.Stated))
+	w.listed[kind] = true
+	w.mergeList(kind, list, by)
 }
 
 // newestRevision returns the newest revision of the objects, and 0 if there are none.
@@ -37,20 +40,26 @@
 	return newest
 }
 
-// replace applies a full list. Known objects that it lacks are removed, unless their revision is newer than the list's: in
-// that case the list is a stale read. The caller holds mu.
-func (w *Watcher) replace(kind Kind, list Changes, by origin) {
-	objects := append(w.cache.removals(kind, list.Objects, list.Revision), list.Objects...)
-	w.cache.revisions[kind] = list.Revision
+// mergeList applies a full list, which may be older than what is known. Objects that it lacks are removed if they have not
+// changed since the revision up to which the list is complete; objects that it has but that are unknown at a later revision were
+// removed. The caller holds mu.
+func (w *Watcher) mergeList(kind Kind, list Changes, by origin) {
+	known := w.cache.revisions[kind]
+	var objects []Object
+	if list.Revision > known {
+		objects = w.cache.removals(kind, list.Objects, list.Revision)
+	}
+	objects = append(objects, newerThan(slices.Clone(list.Objects), known)...)
+	w.cache.learn(kind, list.Objects, list.Revision)
 	w.applyNewer(kind, w.holdRemovals(kind, objects), by)
 }
 
-// applyChanges applies changes that a watch returned.
-func (w *Watcher) applyChanges(kind Kind, changes Changes) {
+// applyChanges applies changes that a watch or ChangesAfter returned.
+func (w *Watcher) applyChanges(kind Kind, changes Changes, by origin) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.cache.revisions[kind] = max(w.cache.revisions[kind], changes.Revision)
-	w.applyNewer(kind, w.holdRemovals(kind, changes.Objects), byWatch)
+	w.cache.learn(kind, changes.Objects, changes.Revision)
+	w.applyNewer(kind, w.holdRemovals(kind, changes.Objects), by)
 }
 
 // holdRemovals puts removals of servers into held while those servers may still register again after an outage, and
--- a/core/watch/compare.go
+++ b/core/watch/compare.go
@@ -152,7 +152,7 @@
 	asked   map[string]bool
 	answers chan answer
 	began   time.Time
-	// listedAt is the time at which all kinds were known; zero until then.
+	// listedAt is the time at which all kinds were listed or known from other hosts; zero until then.
 	listedAt time.Time
 	// answered is the number of hosts that answered, and current is set when this host knows what one of them knows that has
 	// compared its own objects.
@@ -170,7 +170,7 @@
 // after compareLimit: it has started before the others.
 func (s *startComparison) done(now time.Time) bool {
 	switch {
-	case !s.watcher.allRevisionsKnown():
+	case !s.watcher.allKnown():
 		return now.Sub(s.began) > unlistedLimit
 	case s.listedAt.IsZero():
 		s.listedAt = now
--- a/core/watch/feed.go
+++ b/core/watch/feed.go
@@ -160,6 +160,16 @@
 	return true
 }
 
+// allKnown reports whether each kind was listed, or is known from other hosts.
+func (w *Watcher) allKnown() bool {
+	for kind := range kindCount {
+		if !w.isKnown(kind) {
+			return false
+		}
+	}
+	return true
+}
+
 // watchesStore reports whether this host watches the store itself.
 func (w *Watcher) watchesStore() bool { return w.membership.Settled() && w.watcherOrDirect() }
 
@@ -248,7 +258,7 @@
 		if update.Full {
 			objects = append(w.cache.removals(kind, objects, update.Revisions[kind]), objects...)
 		}
-		w.cache.revisions[kind] = max(w.cache.revisions[kind], update.Revisions[kind])
+		w.cache.learn(kind, nil, update.Revisions[kind])
 		w.applyNewer(kind, newerThan(objects, update.After[kind]), byHost)
 	}
 }
--- a/core/watch/feed_test.go
+++ b/core/watch/feed_test.go
@@ -52,16 +52,7 @@
 // before it. An update that left out what is older than the newest object would never bring the missing change.
 func TestListsDoNotOverstateWhatIsKnown(t *testing.T) {
 	Convey("The host knows the kind up to the revision of the list, and a full update brings the missing change", t, func() {
-		w := &Watcher{
-			cache:   newObjectCache(),
-			changed: make(chan struct{}),
-			state:   topo.NewCurrent(),
-			decoder: noDecoder{},
-			journal: trace.NewJournal(hclog.NewNullLogger()),
-			held:    make(map[string]heldRemoval),
-
-			registrations: make(map[string]Registration),
-		}
+		w := newTestWatcher()
 		w.applyList(Servers, Changes{
 			Revision: 10,
 			Objects:  []Object{{Name: "first", Revision: 5}, {Name: "last", Revision: 14}},
@@ -77,6 +68,15 @@
 	})
 }
 
+// newTestWatcher returns a watcher that decodes nothing and makes no calls.
+func newTestWatcher() *Watcher {
+	return New(Options{
+		State:   topo.NewCurrent(),
+		Decoder: noDecoder{},
+		Journal: trace.NewJournal(hclog.NewNullLogger()),
+	})
+}
+
 // noDecoder decodes nothing.
 type noDecoder struct{}
 
--- a/core/watch/object.go
+++ b/core/watch/object.go
@@ -48,21 +48,26 @@
 	Deleted bool
 }
 
-// Changes are objects and the store's revision that includes them.
+// Changes are objects of one kind.
 type Changes struct {
-	Objects  []Object
+	Objects []Object
+	// Revision is the store's revision up to which the objects are complete; 0 if that is not known.
 	Revision uint64
+	// Stated is the store's revision that the answer states. The objects of a stale answer may be older.
+	Stated uint64
 }
 
 // Source is the client of the platform's store.
 type Source interface {
-	// List returns all objects of a kind. A stale list is cheap but may be seconds old.
+	// List returns all objects of a kind. A stale list is cheap but may be seconds old, by an age that its stated revision does
+	// not tell.
 	List(ctx context.Context, kind Kind, stale bool) (Changes, error)
 	// Watch waits for changes after a revision and returns them, or none if none came for some time.
 	// The error is ErrHistoryGone when the changes are no longer kept.
 	Watch(ctx context.Context, kind Kind, after uint64) (Changes, error)
-	// Ping returns no error if the store answers. The result is a stale list of the evacuations, whose revision is 0 if it is
-	// not whole.
+	// ChangesAfter returns the changes up to now after a revision, without waiting. The error is as for Watch.
+	ChangesAfter(ctx context.Context, kind Kind, after uint64) (Changes, error)
+	// Ping returns no error if the store answers. The result is a stale list of the evacuations, or empty if it is not whole.
 	Ping(ctx context.Context) (Changes, error)
 }
 
--- a/core/watch/objectcache.go
+++ b/core/watch/objectcache.go
@@ -14,6 +14,7 @@
 	expired  uint64
 	// revisions holds the store's revision up to which each kind is known; 0 if a list is needed.
 	revisions Revisions
+	accounts  accounts
 	// newest holds the revision of the newest object of each kind, removals included.
 	newest Revisions
 }
@@ -30,9 +31,19 @@
 	for k := range c.entries {
 		c.entries[k] = make(map[string]entry)
 	}
+	c.accounts.seen = make(map[uint64]bool)
 	return c
 }
 
+// learn records that the store has stated the objects, and that a kind is known up to a revision.
+func (c *objectCache) learn(kind Kind, objects []Object, revision uint64) {
+	for _, o := range objects {
+		c.accounts.see(o.Revision)
+	}
+	c.revisions[kind] = max(c.revisions[kind], revision)
+	c.revisions = c.accounts.settle(c.revisions)
+}
+
 // isNewer reports whether an object is unknown or has a newer revision than the cached one.
 func (c *objectCache) isNewer(kind Kind, o Object) bool {
 	known, ok := c.entries[kind][o.Name]
--- a/core/watch/ping.go
+++ b/core/watch/ping.go
@@ -54,12 +54,14 @@
 	}
 }
 
-// applyPing applies the list of evacuations that a ping returned if it is newer than what is known, so that an evacuation
-// takes effect also while the watch hears nothing, and passes the store's revision on to verifyLoop.
+// applyPing applies the stale list of evacuations that a ping returned, so that an evacuation takes effect also while the watch
+// hears nothing, and passes the stated revision on to verifyLoop.
 func (w *Watcher) applyPing(list Changes) {
-	w.applyStaleList(Evacuations, list)
+	w.mu.Lock()
+	w.mergeList(Evacuations, list, byStaleList)
+	w.mu.Unlock()
 	select {
-	case w.pinged <- list.Revision:
+	case w.stated <- list.Stated:
 	default:
 	}
 }
--- a/core/watch/watcher.go
+++ b/core/watch/watcher.go
@@ -19,7 +19,7 @@
 	// minBackoff and maxBackoff bound the backoff after a failed call, before jitter.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 1500 * time.Millisecond
-	// maxStartBackoff replaces maxBackoff until a host knows a revision of the kind.
+	// maxStartBackoff replaces maxBackoff for the first list of a kind.
 	maxStartBackoff = 400 * time.Millisecond
 	// watchPause is the pause after a watch that returned changes. The next watch then returns all changes of the pause
 	// in one reply, each of which takes effect later by up to this time. The same pause follows a watch that returned
@@ -58,8 +58,8 @@
 	directWatchUntil atomic.Int64
 	// watchCancels cancels the watch of each kind, so that it is started again after an outage.
 	watchCancels [kindCount]atomic.Pointer[context.CancelFunc]
-	// pinged passes the store's revision that a ping returned to verifyLoop.
-	pinged chan uint64
+	// stated passes revisions that the store has stated to verifyLoop.
+	stated chan uint64
 
 	// mu guards the fields below.
 	mu    sync.Mutex
@@ -77,6 +77,8 @@
 	config      *topo.Config
 	configCause string
 	started     bool
+	// listed is set for each kind that was listed since the start.
+	listed [kindCount]bool
 	// lag is set while this host lacks a change that another host has announced.
 	lag *lag
 }
@@ -113,7 +115,7 @@
 		dataCentre:    options.DataCentre,
 		epoch:         rand.Uint64(),
 		cache:         newObjectCache(),
-		pinged:        make(chan uint64, 1),
+		stated:        make(chan uint64, 1),
 		changed:       make(chan struct{}),
 		held:          make(map[string]heldRemoval),
 		registrations: make(map[string]Registration),
@@ -135,24 +137,22 @@
 	return group.Wait()
 }
 
-// watchKind lists a kind while its revision is not known, and then watches it as long as this host watches the store.
-// Lists may be stale until the first revision is known: updates of other hosts or a watch bring them up to date. The first
-// list is made only if no other host has stated its objects within firstListDelay, or the others know none either, so that a
-// restart costs the store nothing.
+// watchKind lists a kind once, unless other hosts have stated its objects, and then watches it as long as this host watches the
+// store. The first list is stale, and none is made before others have had firstListDelay to state their objects, unless they know
+// none either, so that a restart costs the store nothing. What it lacks comes by the watch, which begins at the revision up to
+// which the list is known to be complete; if that is not known, by a second list that is not stale.
 func (w *Watcher) watchKind(ctx context.Context, kind Kind) error {
 	for began := time.Now(); ctx.Err() == nil && time.Since(began) < firstListDelay && !w.listEarly.Load(); {
 		_ = timer.Sleep(ctx, firstListDelay/10)
 	}
-	backoff, synced := minBackoff, false
+	backoff, first := minBackoff, true
 	for ctx.Err() == nil {
-		if w.revision(kind) > 0 {
-			synced = true
-		}
-		if synced && !w.watchesStore() {
+		first = first && !w.isKnown(kind)
+		if !first && !w.watchesStore() {
 			_ = timer.Sleep(ctx, roleCheckPeriod)
 			continue
 		}
-		err := w.listOrWatch(ctx, kind, !synced)
+		err := w.listOrWatch(ctx, kind, first)
 		switch {
 		case err == nil:
 			backoff = minBackoff
@@ -162,7 +162,7 @@
 		case ctx.Err() == nil:
 			w.journal.Record("follow", kind.String(), "call failed", err.Error())
 			_ = timer.Sleep(ctx, jitter(backoff))
-			backoff = min(2*backoff, backoffLimit(synced))
+			backoff = min(2*backoff, backoffLimit(first))
 		}
 	}
 	return nil
@@ -191,20 +191,26 @@
 	if err != nil {
 		return errors.Wrapf(err, "watch %s", kind)
 	}
-	w.applyChanges(kind, changes)
+	w.applyChanges(kind, changes, byWatch)
 	if len(changes.Objects) > 0 || time.Since(began) < watchPause {
 		_ = timer.Sleep(ctx, watchPause)
 	}
 	return nil
 }
 
-// backoffLimit returns the longest backoff after a failed call. It is shorter until a host knows a revision of the kind,
-// since its calls are then stale lists, which are cheap.
-func backoffLimit(synced bool) time.Duration {
-	if synced {
-		return maxBackoff
+// backoffLimit returns the longest backoff after a failed call. It is shorter for the first list, which is stale and so cheap.
+func backoffLimit(first bool) time.Duration {
+	if first {
+		return maxStartBackoff
 	}
-	return maxStartBackoff
+	return maxBackoff
+}
+
+// isKnown reports whether a kind was listed, or is known from other hosts.
+func (w *Watcher) isKnown(kind Kind) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.listed[kind] || w.cache.revisions[kind] > 0
 }
 
 func (w *Watcher) revision(kind Kind) uint64 {
