Let one host ask the store for its present revision

When all watches had lost an answer and stale lists stated the revision of their data, hosts noticed a missed change only once the data was new enough: TestLostWatchAnswersDelayNoChange, data of 4 s and 10 s, 40 and 60 requests run by the old service three seconds after the change. Change: one watcher of the fleet asks for the evacuations' changes by a watch that doesn't wait when no answer has told the present revision for 1.8 s, and verifies all kinds against it. What watches had missed is announced to others, which take it over after 0.6 s in place of 1 s. The answers of watches count as statements too, and while they come no ping is made. A starting substitute waits a second for its first feed, since watchers may have to list the store first; a store without changes has nothing to list.

--- a/core/watch/compare.go
+++ b/core/watch/compare.go
@@ -26,8 +26,8 @@
 	// compareTimeout is the timeout of one comparison, and fetchTimeout that of the transfer of a host's objects.
 	compareTimeout = 300 * time.Millisecond
 	fetchTimeout   = time.Second
-	// maxLag is the time within which a feed or a watch brings what another host has announced.
-	maxLag = time.Second
+	// maxLag is the time within which a feed or a watch brings what another host has announced; it is longer than watchPause.
+	maxLag = 600 * time.Millisecond
 )
 
 // Revisions holds a revision of the store for each kind, and 0 for a kind of which nothing is known.
--- a/core/watch/feed.go
+++ b/core/watch/feed.go
@@ -27,6 +27,9 @@
 	// followerPatience is the time for which a follower waits for a feed before it watches the store itself. Meanwhile the
 	// substitutes begin to feed it, and it catches up with what hosts of other data centres announce.
 	followerPatience = 3 * time.Second
+	// firstFeedPatience is the time for which a starting substitute waits for a feed, since watchers that start with it have to
+	// list the store first.
+	firstFeedPatience = time.Second
 )
 
 // Role is the part that a host takes in watching the store for its data centre.
@@ -70,6 +73,8 @@
 	Watchers() (others []member.Member, role Role)
 	// Settled reports whether the view of the other hosts has settled, or this host has waited long enough for that.
 	Settled() bool
+	// ChecksStore reports whether this host asks the store for its present revision on behalf of the fleet.
+	ChecksStore() bool
 	// Others returns the other hosts that accept new work; the caller may reorder the slice.
 	Others() []member.Member
 }
@@ -79,6 +84,8 @@
 	// Compare states the revisions up to which this host knows each kind, and returns what another host knows; with fetch
 	// also its objects if some are newer.
 	Compare(ctx context.Context, with member.Member, known Revisions, fetch bool) (Comparison, error)
+	// Ping tells another host what the newest objects are that this one knows.
+	Ping(ctx context.Context, to member.Member) error
 	// Feed returns the changes in a host's feed after a position. If there are none, the host waits for them for up to
 	// the given time and then returns an empty update. A full update lacks the values up to the known revisions.
 	Feed(ctx context.Context, from member.Member, after Position, known Revisions, wait time.Duration) (Update, error)
@@ -184,7 +191,7 @@
 func (w *Watcher) followPeers(ctx context.Context) error {
 	var position Position
 	var feeder string
-	lastFed := time.Now()
+	lastFed, fed := time.Now(), false
 	for ctx.Err() == nil {
 		others, role := w.membership.Watchers()
 		if !w.membership.Settled() || w.watchesStore() || len(others) == 0 {
@@ -194,11 +201,18 @@
 		}
 		next, from, ok := w.pollPeers(ctx, startingWith(others, feeder), position)
 		if ok {
-			position, feeder, lastFed = next, from, time.Now()
+			position, feeder, lastFed, fed = next, from, time.Now(), true
 			continue
 		}
 		position = Position{}
-		if role == RoleFollower && time.Since(lastFed) < followerPatience {
+		patience := time.Duration(0)
+		switch {
+		case role == RoleFollower:
+			patience = followerPatience
+		case !fed:
+			patience = firstFeedPatience
+		}
+		if time.Since(lastFed) < patience {
 			_ = timer.Sleep(ctx, roleCheckPeriod)
 			continue
 		}
--- a/core/watch/ping.go
+++ b/core/watch/ping.go
@@ -11,7 +11,7 @@
 	pingTimeout = 900 * time.Millisecond
 )
 
-// pingLoop pings the store at regular intervals while this host watches it. After an outage, all watches are cancelled,
+// pingLoop pings the store at regular intervals while this host watches it, unless another call was answered just now. After an outage, all watches are cancelled,
 // since they may wait on connections that return nothing any more.
 func (w *Watcher) pingLoop(ctx context.Context) error {
 	ticks := w.timer.Subscribe(ctx, pingPeriod)
@@ -25,6 +25,10 @@
 			w.sourceDown.Store(false)
 			continue
 		}
+		if w.sinceUpToDate(time.Now()) < pingPeriod {
+			w.handlePing(nil)
+			continue
+		}
 		callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
 		evacuations, err := w.source.Ping(callCtx)
 		cancel()
@@ -60,8 +64,5 @@
 	w.mu.Lock()
 	w.mergeList(Evacuations, list, byStaleList)
 	w.mu.Unlock()
-	select {
-	case w.stated <- list.Stated:
-	default:
-	}
+	w.recordStatement(list.Stated)
 }
--- a/core/watch/verify.go
+++ b/core/watch/verify.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"magnoliaworks/core/timer"
 )
@@ -16,8 +18,26 @@
 	verifyDelay = 600 * time.Millisecond
 	// verifyTimeout is the timeout of the check of one kind.
 	verifyTimeout = 900 * time.Millisecond
+	// checkPeriod is the longest time for which the fleet goes on without an answer of the store that tells its present revision,
+	// and checkTickPeriod the time between two looks at that. A version that every watch has missed is in force within 3 s: after
+	// checkPeriod, answerDelay and, on other hosts, maxLag.
+	checkPeriod     = 1800 * time.Millisecond
+	checkTickPeriod = 100 * time.Millisecond
+	// answerDelay is the time within which a watch that waits brings a change; none is in its pause when a check is due.
+	answerDelay = 200 * time.Millisecond
+	// announcedHosts is the number of hosts that are told of a missed change, from which it spreads by their pings.
+	announcedHosts  = 16
+	announceTimeout = 300 * time.Millisecond
 )
 
+// recordStatement passes a revision that the store has stated on to verifyLoop, unless that has one in hand. Pings repeat it.
+func (w *Watcher) recordStatement(revision uint64) {
+	select {
+	case w.stated <- revision:
+	default:
+	}
+}
+
 // verifyLoop verifies that the watches have brought all changes up to each revision that the store states. A watch whose reply
 // was lost waits on a connection that returns nothing any more, while calls on other ones are answered.
 func (w *Watcher) verifyLoop(ctx context.Context) error {
@@ -47,41 +67,112 @@
 }
 
 // verify asks the store for the changes of each kind that is not known up to a revision. The changes of one kind may account for
-// those that another one seemed to lack.
+// those that another one seemed to lack. Other hosts are told of what no watch had brought here, since their watches may have
+// missed it too.
 func (w *Watcher) verify(ctx context.Context, stated uint64) {
+	missed := 0
 	for _, kind := range w.kindsBehind(stated) {
-		if after := w.revision(kind); after > 0 && after < stated {
-			w.verifyKind(ctx, kind, after, stated)
+		after := w.revision(kind)
+		if after == 0 || after >= stated {
+			continue
+		}
+		if changes, ok := w.ask(ctx, kind, after); ok {
+			missed += w.applyVerified(kind, changes, stated)
 		}
 	}
+	if missed > 0 {
+		w.announce(ctx)
+	}
 }
 
-// verifyKind asks for the changes of a kind after a revision. A stale list would not do, since it may lack changes up to the
-// revision that it states. If there are changes which the watch should have brought, it is started again.
-func (w *Watcher) verifyKind(ctx context.Context, kind Kind, after, stated uint64) {
+// ask asks for the changes of a kind after a revision. A stale list would not do, since it may lack changes up to the revision that
+// it states.
+func (w *Watcher) ask(ctx context.Context, kind Kind, after uint64) (changes Changes, ok bool) {
 	callCtx, cancel := context.WithTimeout(ctx, verifyTimeout)
+	defer cancel()
 	changes, err := w.source.ChangesAfter(callCtx, kind, after)
-	cancel()
 	switch {
+	case err == nil:
+		w.upToDateAt.Store(time.Now().UnixNano())
+		return changes, true
 	case errors.Is(err, ErrHistoryGone):
 		w.journal.Record("follow", kind.String(), "listed anew", err.Error())
 		w.forgetRevision(kind)
 		w.cancelWatch(kind)
-		return
-	case err != nil:
-		if ctx.Err() == nil {
-			w.journal.Record("follow", kind.String(), "not verified", err.Error())
+	case ctx.Err() == nil:
+		w.journal.Record("follow", kind.String(), "not verified", err.Error())
+	}
+	return Changes{}, false
+}
+
+// applyVerified applies changes, and starts the watch of the kind again if it should have brought some of them, which were made up
+// to the stated revision. It returns the number of these.
+func (w *Watcher) applyVerified(kind Kind, changes Changes, stated uint64) (missed int) {
+	missed = w.missed(kind, changes, stated)
+	w.applyChanges(kind, changes, byCheck)
+	if missed > 0 {
+		w.journal.Record("follow", kind.String(), "changes missed",
+			fmt.Sprintf("%d changes up to revision %d came by a check, the watch is started again", missed, stated))
+		w.cancelWatch(kind)
+	}
+	return missed
+}
+
+// announce pings other hosts, which then learn what the newest objects are that this one knows.
+func (w *Watcher) announce(ctx context.Context) {
+	hosts := w.membership.Others()
+	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	var group errgroup.Group
+	for _, host := range hosts[:min(announcedHosts, len(hosts))] {
+		group.Go(func() error {
+			_ = w.peers.Ping(ctx, host) // Regular pings repeat the announcement.
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+// checkLoop asks the store for its present revision when no answer has told it for checkPeriod, on one host of the fleet. Pings
+// don't tell it, since stale lists may state the revision of their data.
+func (w *Watcher) checkLoop(ctx context.Context) error {
+	ticks := w.timer.Subscribe(ctx, checkTickPeriod)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case tick := <-ticks:
+			if w.sinceUpToDate(tick.At) >= checkPeriod && !w.sourceDown.Load() && w.watchesStore() && w.membership.ChecksStore() {
+				w.check(ctx)
+			}
 		}
+	}
+}
+
+// sinceUpToDate returns the time since the last answer of the store that told its present revision.
+func (w *Watcher) sinceUpToDate(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, w.upToDateAt.Load()))
+}
+
+// check asks for the changes of the evacuations, the kind with the fewest objects, and verifies that all kinds are known up to the
+// revision of the answer.
+func (w *Watcher) check(ctx context.Context) {
+	after := w.revision(Evacuations)
+	if after == 0 {
 		return
 	}
-	missed := w.missed(kind, changes, stated)
-	w.applyChanges(kind, changes, byCheck)
-	if missed == 0 {
+	changes, ok := w.ask(ctx, Evacuations, after)
+	if !ok {
+		return
+	}
+	if len(w.kindsBehind(changes.Stated)) > 0 && timer.Sleep(ctx, answerDelay) != nil {
 		return
 	}
-	w.journal.Record("follow", kind.String(), "changes missed",
-		fmt.Sprintf("%d changes up to revision %d came by a check, the watch is started again", missed, stated))
-	w.cancelWatch(kind)
+	if w.applyVerified(Evacuations, changes, changes.Stated) > 0 {
+		w.announce(ctx)
+	}
+	w.verify(ctx, changes.Stated)
 }
 
 // missed counts the changes that are newer than the known ones and not newer than a revision.
--- a/core/watch/watcher.go
+++ b/core/watch/watcher.go
@@ -60,6 +60,8 @@
 	watchCancels [kindCount]atomic.Pointer[context.CancelFunc]
 	// stated passes revisions that the store has stated to verifyLoop.
 	stated chan uint64
+	// upToDateAt is the Unix time in nanoseconds of the last answer of the store that told its present revision.
+	upToDateAt atomic.Int64
 
 	// mu guards the fields below.
 	mu    sync.Mutex
@@ -133,6 +135,7 @@
 	group.Go(func() error { return w.followPeers(ctx) })
 	group.Go(func() error { return w.pingLoop(ctx) })
 	group.Go(func() error { return w.verifyLoop(ctx) })
+	group.Go(func() error { return w.checkLoop(ctx) })
 	group.Go(func() error { return w.releaseLoop(ctx) })
 	return group.Wait()
 }
@@ -192,6 +195,8 @@
 		return errors.Wrapf(err, "watch %s", kind)
 	}
 	w.applyChanges(kind, changes, byWatch)
+	w.upToDateAt.Store(time.Now().UnixNano())
+	w.recordStatement(changes.Stated)
 	if len(changes.Objects) > 0 || time.Since(began) < watchPause {
 		_ = timer.Sleep(ctx, watchPause)
 	}
--- a/membership.go
+++ b/membership.go
@@ -115,6 +115,18 @@
 	return others, role
 }
 
+// ChecksStore implements watch.Membership. The host is the first watcher of one data centre.
+func (ms *membership) ChecksStore() bool {
+	available := ms.table.View().Available()
+	top := member.Rank(available, "store", 1)
+	if len(top) == 0 {
+		return false
+	}
+	local := slices.DeleteFunc(available, func(m member.Member) bool { return m.DataCentre != top[0].DataCentre })
+	first := member.Rank(local, "store/"+top[0].DataCentre, 1)
+	return first[0].ID == ms.table.Self().ID
+}
+
 // Settled implements watch.Membership.
 func (ms *membership) Settled() bool {
 	if time.Since(ms.started) > settleTimeout {
--- a/stand/site/objecthandler.go
+++ b/stand/site/objecthandler.go
@@ -62,6 +62,9 @@
 		return StoreBusy
 	}
 	switch {
+	case c.QueryArgs().Has("watch") && c.QueryArgs().GetUintOrZero("wait_ms") <= 1:
+		o.checkers[id] = true
+		o.calls["check"]++
 	case c.QueryArgs().Has("watch"):
 		o.watchers[id] = true
 		o.calls["watch"]++
--- a/stand/site/objectstore.go
+++ b/stand/site/objectstore.go
@@ -43,8 +43,9 @@
 	oldest uint64
 	state  StoreState
 	calls  map[string]int
-	// watchers holds the hosts that have watched the store, refused those that get 503, and stalled the kinds whose watches
+	// checkers holds the hosts that have made watches that don't wait, watchers those that have watched the store, refused those that get 503, and stalled the kinds whose watches
 	// return nothing to a host; no kind stands for all.
+	checkers map[string]bool
 	watchers map[string]bool
 	refused  map[string]bool
 	stalled  map[string][]string
@@ -86,6 +87,7 @@
 	o := &ObjectStore{
 		kinds:    make(map[string]map[string]object),
 		calls:    make(map[string]int),
+		checkers: make(map[string]bool),
 		watchers: make(map[string]bool),
 		refused:  make(map[string]bool),
 		stalled:  make(map[string][]string),
@@ -176,7 +178,7 @@
 	o.oldest = o.revision
 }
 
-// Calls returns the number of calls by type: list, stale (a list with stale_ok) and watch.
+// Calls returns the number of calls by type: list, stale (a list with stale_ok), watch and check (a watch that doesn't wait).
 func (o *ObjectStore) Calls() map[string]int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -198,6 +200,15 @@
 	return found
 }
 
+// Checkers returns the IDs of the hosts that have made watches that don't wait, and forgets them.
+func (o *ObjectStore) Checkers() map[string]bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	found := o.checkers
+	o.checkers = make(map[string]bool)
+	return found
+}
+
 // Refuse makes the store answer 503 to a host, also to its waiting watches.
 func (o *ObjectStore) Refuse(id string) {
 	o.mu.Lock()
--- a/stand/site/stale_test.go
+++ b/stand/site/stale_test.go
@@ -170,6 +170,39 @@
 	}
 }
 
+// TestOneHostChecksTheStore runs fifteen hosts in three data centres on a store where nothing changes, and then stops the host that
+// asks for the store's present revision. If none did, a missed change would stay unknown; if all did, calls would grow with hosts.
+func TestOneHostChecksTheStore(t *testing.T) {
+	const period = 20 * time.Second
+	var first, later map[string]bool
+	checks := 0
+	inRig(t, func(r *rig) {
+		for i := range 12 {
+			r.add(fmt.Sprintf("more-%d", i), DataCentres[i%len(DataCentres)])
+		}
+		time.Sleep(10 * time.Second)
+		r.site.Store.Checkers()
+		before := r.site.Store.Calls()["check"]
+		time.Sleep(period)
+		checks = r.site.Store.Calls()["check"] - before
+		first = r.site.Store.Checkers()
+		for i := range r.hosts {
+			if first[r.hosts[i].settings.ID] {
+				r.leave(i)
+			}
+		}
+		r.site.Store.Checkers()
+		time.Sleep(period)
+		later = r.site.Store.Checkers()
+	})
+	Convey("One host asks about every two seconds, and another one takes its place", t, func() {
+		So(first, ShouldHaveLength, 1)
+		So(later, ShouldHaveLength, 1)
+		So(later, ShouldNotResemble, first)
+		So(checks, ShouldBeBetweenOrEqual, int(period/(2*time.Second)), int(period/(1500*time.Millisecond)))
+	})
+}
+
 // TestStaleListsTakeNothingBack takes a data centre out and adds a server, while stale lists return what was before. A host that
 // takes what such a list lacks for removed puts the data centre back in service, and drops the server for good.
 func TestStaleListsTakeNothingBack(t *testing.T) {
