Start watches again that lag behind other hosts

Change: the watches of the kinds in which the host lags are started again when the change is taken over. Overdue changes are looked for every 100 ms. Measured: TestWatchesThatLagBehindOtherHostsStartAgain failed before (0 new watches), passes now; go test ./core/watch passes.

--- a/core/watch/compare.go
+++ b/core/watch/compare.go
@@ -112,6 +112,16 @@
 	return current, ok
 }
 
+// restartWatchesBehind starts the watches again that have not brought what another host knows.
+func (w *Watcher) restartWatchesBehind(newest Revisions) {
+	known := w.known()
+	for kind := range kindCount {
+		if known[kind] > 0 && newest[kind] > known[kind] {
+			w.cancelWatch(kind)
+		}
+	}
+}
+
 // compareAtStart lets a starting host take over what other hosts know before its own state is published: a stale list or
 // the feed of a host that has lost the store may be older than what the fleet has in force. It ends when a host that has
 // compared its own objects has answered, or comparedHosts others have, or no more than compareLimit after the store was
--- /dev/null
+++ b/core/watch/verify_test.go
@@ -0,0 +1,96 @@
+package watch
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"magnoliaworks/core/member"
+	"magnoliaworks/core/timer"
+	"magnoliaworks/core/topo"
+	"magnoliaworks/core/trace"
+)
+
+// deafStore is a store at revision 10 whose watches return nothing. It counts them.
+type deafStore struct {
+	watches [kindCount]atomic.Int32
+}
+
+func (*deafStore) List(context.Context, Kind, bool) (Changes, error) {
+	return Changes{Revision: 10, Stated: 10}, nil
+}
+
+func (s *deafStore) Watch(ctx context.Context, kind Kind, _ uint64) (Changes, error) {
+	s.watches[kind].Add(1)
+	<-ctx.Done()
+	return Changes{}, ctx.Err()
+}
+
+func (*deafStore) ChangesAfter(context.Context, Kind, uint64) (Changes, error) {
+	return Changes{Revision: 10, Stated: 10}, nil
+}
+
+func (*deafStore) Ping(context.Context) (Changes, error) { return Changes{Stated: 10}, nil }
+
+// loneWatcher is the membership of a host that watches the store and knows no other host. Its peers answer nothing.
+type loneWatcher struct{}
+
+func (loneWatcher) Watchers() ([]member.Member, Role) { return nil, RoleWatcher }
+func (loneWatcher) Settled() bool                     { return true }
+func (loneWatcher) ChecksStore() bool                 { return false }
+func (loneWatcher) Others() []member.Member           { return nil }
+
+func (loneWatcher) Compare(context.Context, member.Member, Revisions, bool) (Comparison, error) {
+	return Comparison{}, context.DeadlineExceeded
+}
+
+func (loneWatcher) Ping(context.Context, member.Member) error { return nil }
+
+func (loneWatcher) Feed(context.Context, member.Member, Position, Revisions, time.Duration) (Update, error) {
+	return Update{}, ErrFeedUnavailable
+}
+
+// TestWatchesThatLagBehindOtherHostsStartAgain lets another host announce a newer server, which the watch doesn't bring: its answer was
+// lost. A host that only takes the change over learns of each further one as late.
+func TestWatchesThatLagBehindOtherHostsStartAgain(t *testing.T) {
+	var before, after [kindCount]int32
+	synctest.Test(t, func(*testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		store, ticks := &deafStore{}, timer.New()
+		w := New(Options{
+			Source:     store,
+			Peers:      loneWatcher{},
+			Membership: loneWatcher{},
+			Decoder:    noDecoder{},
+			State:      topo.NewCurrent(),
+			Timer:      ticks,
+			Journal:    trace.NewJournal(hclog.NewNullLogger()),
+		})
+		ended := make(chan error, 2)
+		go func() { ended <- ticks.Run(ctx) }()
+		go func() { ended <- w.Run(ctx) }()
+		time.Sleep(5 * time.Second)
+		count := func(n *[kindCount]int32) {
+			for kind := range kindCount {
+				n[kind] = store.watches[kind].Load()
+			}
+		}
+		count(&before)
+		w.RecordAnnouncement(member.Member{ID: "other"}, Revisions{Servers: 11})
+		time.Sleep(time.Second)
+		count(&after)
+		cancel()
+		<-ended
+		<-ended
+	})
+	Convey("The watch of that kind is started again, and no other one", t, func() {
+		So(after[Servers]-before[Servers], ShouldEqual, 1)
+		So(after[Configuration]-before[Configuration], ShouldEqual, 0)
+		So(after[Evacuations]-before[Evacuations], ShouldEqual, 0)
+	})
+}
--- a/core/watch/watcher.go
+++ b/core/watch/watcher.go
@@ -29,7 +29,7 @@
 	// expired during the outage.
 	reregisterTime = 2500 * time.Millisecond
 	// holdCheckPeriod is the time between two checks for held removals that are due, and for changes that are overdue.
-	holdCheckPeriod = 250 * time.Millisecond
+	holdCheckPeriod = 100 * time.Millisecond
 	// firstListDelay is the time for which a starting host waits for the state of other hosts before it lists the store.
 	firstListDelay = 50 * time.Millisecond
 )
@@ -249,6 +249,7 @@
 		case tick := <-ticks:
 			w.releaseDue(tick.At)
 			if l, ok := w.overdueLag(tick.At); ok {
+				w.restartWatchesBehind(l.newest)
 				w.fetch(ctx, l.host) // A failure is repeated after the next announcement.
 			}
 		}
