Let the soak draw stale lists, lost answers to watches and moving routes

Change: half of the runs draw an age of up to 10 s and a reading of as_of; answers to watches get lost for 1 to 4 s; a route moves between two services, whose servers count what reaches them more than 4 s after the route left.

--- a/stand/site/server.go
+++ b/stand/site/server.go
@@ -20,9 +20,11 @@
 
 // Times after which a server counts work that a host should no longer send it, or should have ended.
 const (
-	// drainGrace runs from the start of draining, evacuationGrace from the evacuation of the data centre.
+	// drainGrace runs from the start of draining, evacuationGrace from the evacuation of the data centre, and routeGrace from the
+	// change of the only route to the service: 3 s for the configuration and 1 s for requests that were sent before.
 	drainGrace      = 3 * time.Second
 	evacuationGrace = 5 * time.Second
+	routeGrace      = 4 * time.Second
 	// cancelGrace runs from the end of the caller's connection.
 	cancelGrace = 500 * time.Millisecond
 )
@@ -101,6 +103,8 @@
 	random         *rand.Rand
 	drainingSince  time.Time
 	evacuatedSince time.Time
+	// unroutedSince is the time from which no route leads to the server's service; zero while one does.
+	unroutedSince  time.Time
 	maxArrivalRate float64
 	// born is the Unix millisecond of the server's start, as it registers it.
 	born int64
@@ -275,6 +279,8 @@
 		s.log.violation("drain")
 	case s.log.overdue(s.evacuatedSince, evacuationGrace):
 		s.log.violation("evacuate")
+	case s.log.overdue(s.unroutedSince, routeGrace):
+		s.log.violation("configuration")
 	}
 	if s.maxArrivalRate > 0 && float64(len(s.recentArrivals)) > s.maxArrivalRate {
 		s.log.violation("cold")
--- a/stand/site/site.go
+++ b/stand/site/site.go
@@ -217,6 +217,27 @@
 	s.Apply()
 }
 
+// MoveRoute stores a version of the configuration in which a route leads to another service. The services that it leaves must be
+// those of no other route.
+func (s *Site) MoveRoute(name, service string) {
+	s.ChangeConfig(func(c *Config) {
+		for i := range c.Routes {
+			if c.Routes[i].Name != name {
+				continue
+			}
+			for _, server := range s.servers {
+				switch server.service {
+				case service:
+					server.Set(func(s *Server) { s.unroutedSince = time.Time{} })
+				case c.Routes[i].Service:
+					server.Set(func(s *Server) { s.unroutedSince = time.Now() })
+				}
+			}
+			c.Routes[i].Service = service
+		}
+	})
+}
+
 // Evacuate takes a data centre out of service.
 func (s *Site) Evacuate(dataCentre string) {
 	for _, server := range s.servers {
--- a/stand/soak/caller.go
+++ b/stand/soak/caller.go
@@ -25,6 +25,7 @@
 	searchHost = "search.example"
 	oneHost    = "one.example"
 	onceHost   = "once.example"
+	movingHost = "moving.example"
 )
 
 // runCaller connects to randomly chosen hosts until ctx ends, sends requests and checks each answer.
@@ -65,8 +66,8 @@
 	}
 }
 
-// newRequest draws a request: half go to the shard set, a quarter each to the idempotent and the non-idempotent route. Half
-// of the latter have a form as their body.
+// newRequest draws a request: two in five go to the shard set, one in five to each of the other routes. Half of those that may not
+// be repeated have a form as their body.
 func (s *soak) newRequest(random *rand.Rand) site.Request {
 	a := site.Request{
 		ID:      fmt.Sprintf("%016x", random.Uint64()),
@@ -74,10 +75,12 @@
 		Path:    "/x",
 		Timeout: time.Second,
 	}
-	switch random.IntN(4) {
+	switch random.IntN(5) {
 	case 0:
 		a.Host = oneHost
 	case 1:
+		a.Host = movingHost
+	case 2:
 		a.Host, a.Method, a.Body = onceHost, "POST", strings.Repeat("b", random.IntN(2000))
 		if random.IntN(2) == 0 {
 			a.Fields, a.Body = formField, form(a.Body)
--- a/stand/soak/fault.go
+++ b/stand/soak/fault.go
@@ -38,6 +38,7 @@
 			s.storeProxy.silence(func() bool { return r.IntN(2) == 0 })
 			return nil
 		}},
+		{name: "store_loses_watches", run: loseWatchAnswers},
 		{name: "servers_delayed", run: withProxyMode(randomServerProxies, delayBoth)},
 		{name: "servers_deaf", run: withProxyMode(randomServerProxies, dropToServer)},
 		{name: "servers_mute", run: withProxyMode(randomServerProxies, dropFromServer)},
@@ -51,6 +52,7 @@
 		{name: "drain", planned: true, run: drainServer},
 		{name: "evacuate", planned: true, run: evacuateDataCentre},
 		{name: "configuration", planned: true, run: changeTimeout},
+		{name: "route_moves", planned: true, run: moveRoute},
 		{name: "repartition", planned: true, run: changeShardSet},
 		{name: "repartition_and_term", planned: true, run: changeShardSetAndRestart},
 	}
@@ -77,6 +79,14 @@
 	}
 }
 
+// loseWatchAnswers loses the store's answers to watches for 1 to 4 s.
+func loseWatchAnswers(ctx context.Context, s *soak, r *rand.Rand) error {
+	s.site.Store.LoseWatchAnswers(true)
+	_ = timer.Sleep(ctx, time.Duration(1+r.IntN(4))*time.Second)
+	s.site.Store.LoseWatchAnswers(false)
+	return nil
+}
+
 // withProxyMode puts proxies into a mode for 1 to 3 s. Unless the mode is delayBoth, it resets their connections at
 // the end, as happens when a failed link comes back.
 func withProxyMode(choose func(*soak, *rand.Rand) []*proxy, mode proxyMode) func(context.Context, *soak, *rand.Rand) error {
@@ -146,6 +156,12 @@
 	return nil
 }
 
+// moveRoute lets the route moving lead to one of its services.
+func moveRoute(_ context.Context, s *soak, r *rand.Rand) error {
+	s.site.MoveRoute("moving", movingServices[r.IntN(len(movingServices))])
+	return nil
+}
+
 // changeShardSet stores a configuration in which the search route uses another shard set.
 func changeShardSet(_ context.Context, s *soak, r *rand.Rand) error {
 	next := slices.Clone(s.shardSets[r.IntN(len(s.shardSets))])
--- a/stand/soak/soak.go
+++ b/stand/soak/soak.go
@@ -26,6 +26,8 @@
 	recoveryTimeout = 12 * time.Second
 	// inFlightTime is the time in which an answer that a host has sent reaches the caller.
 	inFlightTime = 200 * time.Millisecond
+	// maxStaleAge bounds the age of the data of stale lists.
+	maxStaleAge = 10 * time.Second
 	// callersPerHost is the number of callers for each host.
 	callersPerHost = 4
 	// maxFaultGap bounds the time between the starts of two faults; faults overlap.
--- a/stand/soak/start.go
+++ b/stand/soak/start.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -10,7 +11,7 @@
 )
 
 // startAll starts the stand-ins, the proxies in front of them, and the host processes.
-// The routes are one over a shard set, one idempotent and one non-idempotent to a single service.
+// The routes are one over a shard set, one idempotent and one non-idempotent to a single service, and one to a service that changes.
 func (s *soak) startAll() error {
 	var err error
 	if s.site, err = site.NewTCP(); err != nil {
@@ -27,6 +28,12 @@
 	if err := s.addService("desk", 6, 20*time.Millisecond); err != nil {
 		return err
 	}
+	for _, name := range movingServices {
+		if err := s.addService(name, 3, 10*time.Millisecond); err != nil {
+			return err
+		}
+	}
+	s.setStaleReads()
 	s.site.ChangeConfig(func(c *site.Config) {
 		c.Routes = []site.Route{
 			{
@@ -35,6 +42,7 @@
 			},
 			{Name: "one", Host: oneHost, Prefix: "/", Type: "idempotent", TimeoutMS: 2000, ObjectiveMS: 300, MaxAttempts: 2, Service: "desk"},
 			{Name: "once", Host: onceHost, Prefix: "/", Type: "non_idempotent", TimeoutMS: 2000, ObjectiveMS: 300, MaxAttempts: 2, Service: "desk"},
+			{Name: "moving", Host: movingHost, Prefix: "/", Type: "idempotent", TimeoutMS: 1000, ObjectiveMS: 300, MaxAttempts: 2, Service: movingServices[0]},
 		}
 	})
 	if s.storeProxy, err = newProxy(s.site.StoreAddress()); err != nil {
@@ -43,6 +51,17 @@
 	return s.startHosts()
 }
 
+// movingServices are the services to which the route moving leads in turn.
+var movingServices = []string{"pier", "quay"}
+
+// setStaleReads draws how old the data of stale lists is throughout the run, in half of the runs, and which revision they state.
+func (s *soak) setStaleReads() {
+	random := rand.New(rand.NewPCG(s.config.Seed, 98))
+	if random.IntN(2) == 0 {
+		s.site.Store.SetStaleReads(time.Duration(random.Int64N(int64(maxStaleAge))), random.IntN(2) == 0)
+	}
+}
+
 // addService starts the replicas of a service, each behind a proxy whose address it registers.
 func (s *soak) addService(name string, replicas int, serviceTime time.Duration) error {
 	s.site.ConfigureService(name)
