--- a/core/watch/verify_test.go
+++ b/core/watch/verify_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sync/errgroup"
 
 	"magnoliaworks/core/member"
 	"magnoliaworks/core/timer"
@@ -71,9 +72,9 @@
 			Timer:      ticks,
 			Journal:    trace.NewJournal(hclog.NewNullLogger()),
 		})
-		ended := make(chan error, 2)
-		go func() { ended <- ticks.Run(ctx) }()
-		go func() { ended <- w.Run(ctx) }()
+		var tasks errgroup.Group
+		tasks.Go(func() error { return ticks.Run(ctx) })
+		tasks.Go(func() error { return w.Run(ctx) })
 		time.Sleep(5 * time.Second)
 		count := func(n *[kindCount]int32) {
 			for kind := range kindCount {
@@ -85,8 +86,7 @@
 		time.Sleep(time.Second)
 		count(&after)
 		cancel()
-		<-ended
-		<-ended
+		_ = tasks.Wait()
 	})
 	Convey("The watch of that kind is started again, and no other one", t, func() {
 		So(after[Servers]-before[Servers], ShouldEqual, 1)
