Don't count what quiet servers turn away as an overload

Cause: TestRequestsAreRefusedWhileAllServersAreQuiet failed once beside other work. Callers got 503 for a share of the searches seconds after servers that had asked for quiet accepted calls again: each such rejection halved the share of searches that is started. Change: a rejection doesn't count while the quiet time that came with it is heeded.

--- a/core/relay/admission.go
+++ b/core/relay/admission.go
@@ -91,8 +91,19 @@
 	return wait, ok
 }
 
+// isQuiet reports whether a server has asked for no calls for some time. While it is heeded, what the server turned away is no sign
+// of what it can do afterwards.
+func (r *Relay) isQuiet(server string, now time.Time) bool {
+	known, ok := r.table.Load().state.Server(server)
+	if !ok {
+		return false
+	}
+	_, quiet := r.options.Pool.QuietUntil(server, known.Incarnation, now)
+	return quiet
+}
+
 // rejected reports whether at least half of the shards that were given up had calls that a server rejected for lack of
-// capacity.
+// capacity, without asking for quiet.
 func (e *execution) rejected() bool {
 	lost, rejected := 0, 0
 	for i := range e.shards {
--- a/core/relay/completion.go
+++ b/core/relay/completion.go
@@ -16,7 +16,7 @@
 	s := &e.shards[a.shard]
 	s.pending--
 	rejected := isRejection(c.result)
-	s.rejected = s.rejected || rejected
+	s.rejected = s.rejected || (rejected && !e.relay.isQuiet(a.server, time.Now()))
 	e.relay.losses.Observe(rejected || isLoss(c.result), time.Now())
 	switch r := c.result.(type) {
 	case query.Done:
--- a/core/relay/shard.go
+++ b/core/relay/shard.go
@@ -23,7 +23,7 @@
 	// resolved is set once the shard is answered or given up. hedgeAt is the time at which the call in progress may be hedged.
 	resolved bool
 	hedgeAt  time.Time
-	// rejected is set once a server has rejected a call for lack of capacity.
+	// rejected is set once a server has rejected a call for lack of capacity without asking for quiet.
 	rejected bool
 	// answered is set once the reply is in; reply holds it unless another host gathered it.
 	answered bool
--- a/stand/site/quiet_test.go
+++ b/stand/site/quiet_test.go
@@ -58,6 +58,31 @@
 	}
 }
 
+// TestSearchesAreServedOnceQuietServersReturn lets all servers of two of four shards ask for short quiet times again and again. What
+// was turned away meanwhile must not count as an overload, for which a share of the searches is refused for seconds after.
+func TestSearchesAreServedOnceQuietServersReturn(t *testing.T) {
+	const quietTime = 300 * time.Millisecond
+	var after tally
+	inRig(t, func(r *rig) {
+		r.load(0, searchHost, 20, 10*time.Millisecond)
+		ask := func(value string) {
+			for _, service := range []string{"sh-a", "sh-b"} {
+				for i := range 3 {
+					r.site.Server(fmt.Sprintf("%s-%d", service, i)).Set(WithRetryAfter(value))
+				}
+			}
+		}
+		ask(fmt.Sprint(quietTime.Seconds()))
+		r.load(0, searchHost, 300, 10*time.Millisecond)
+		ask("")
+		time.Sleep(2 * quietTime)
+		after = r.load(0, searchHost, 20, 10*time.Millisecond)
+	})
+	Convey("All searches are served once the servers accept calls again", t, func() {
+		So(after.statuses[200], ShouldEqual, 20)
+	})
+}
+
 // TestRequestsAreRefusedWhileAllServersAreQuiet lets all servers of a service, or of two of four shards, ask for quiet.
 func TestRequestsAreRefusedWhileAllServersAreQuiet(t *testing.T) {
 	const quietTime = 2 * time.Second
