Share light load among servers that differ by noise

The lower of two estimates won however small the difference, and a server without calls was never estimated anew. Change: latencies within a quarter of each other are ties, decided by the queue or by chance; in comparisons an estimate approaches that of an ordinary server, by half each 2 s without a call. The choice between data centres and mirrors use estimates as before.

--- a/core/route/picker.go
+++ b/core/route/picker.go
@@ -175,7 +175,8 @@
 	return (xxhash.Sum64String(server) ^ preferenceSeed) * 0x9e3779b97f4a7c15
 }
 
-// betterOfTwo returns the one of two random servers that is expected to reply first (power of two choices).
+// betterOfTwo returns the one of two random servers that is expected to reply first (power of two choices). Of servers that differ
+// by no more than noise does, it returns the one with the shorter queue, or either.
 func (p *Picker) betterOfTwo(servers []Server, kind string, now time.Time) Server {
 	if len(servers) == 1 {
 		return servers[0]
@@ -185,7 +186,10 @@
 	if j >= i {
 		j++
 	}
-	if p.estimate(servers[j], kind, now) < p.estimate(servers[i], kind, now) {
+	median := p.MedianLatency(kind)
+	first := p.statsOf(servers[i].ID).prospect(median, servers[i].Slots, now)
+	second := p.statsOf(servers[j].ID).prospect(median, servers[j].Slots, now)
+	if second.before(first) {
 		return servers[j]
 	}
 	return servers[i]
--- a/core/route/serverstats.go
+++ b/core/route/serverstats.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -35,6 +36,11 @@
 	mirrorPeriod = 2 * time.Second
 	// feedbackValidity is the time for which the queue wait and load of the last feedback are used.
 	feedbackValidity = 300 * time.Millisecond
+	// estimateHalfLife is the time without a call in which the deviation of a server's estimate from that of an ordinary server
+	// halves in comparisons, so that a slow server is tried again.
+	estimateHalfLife = 2 * time.Second
+	// noiseShare is the share of the longer time up to which two estimates differ by chance.
+	noiseShare = 0.25
 	// stallFactor is the multiple of the longest typical latency, and minStallTime the least time, without any result
 	// after which a server with calls in progress counts as stalled.
 	stallFactor  = 4
@@ -153,19 +159,52 @@
 func (s *serverStats) estimate(median time.Duration, slots int, now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.latencyFactor == 0 && s.consecutiveFailures == 0 {
+	if !s.known() {
 		return 0
 	}
-	expected := s.typicalLatency(median)
+	latency := s.typicalLatency(median)
+	expected := latency + s.queueWait(latency, slots, now)
+	return expected + failureCost(s.errorRate, expected)
+}
+
+// prospect returns the estimate in the parts by which two servers are compared. Without calls it approaches that of an ordinary
+// server.
+func (s *serverStats) prospect(median time.Duration, slots int, now time.Time) prospect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.known() {
+		return prospect{}
+	}
+	weight := math.Exp2(-float64(now.Sub(s.lastStarted)) / float64(estimateHalfLife))
+	latency := median + time.Duration(weight*float64(s.typicalLatency(median)-median))
+	wait := s.queueWait(latency, slots, now)
+	return prospect{
+		known:   true,
+		latency: latency + failureCost(weight*s.errorRate, latency+wait),
+		wait:    wait,
+	}
+}
+
+// known reports whether a call has succeeded, or the last one failed; s.mu is held.
+func (s *serverStats) known() bool { return s.latencyFactor > 0 || s.consecutiveFailures > 0 }
+
+// queueWait returns the expected wait behind the calls ahead on a server with the given typical latency; s.mu is held.
+func (s *serverStats) queueWait(latency time.Duration, slots int, now time.Time) time.Duration {
+	var wait time.Duration
 	ahead := s.outstanding
 	if now.Sub(s.feedbackAt) < feedbackValidity {
-		expected += s.feedback.QueueWait
+		wait = s.feedback.QueueWait
 		ahead = max(ahead, s.feedback.Load.Running+s.feedback.Load.Waiting)
 	}
 	if slots > 0 {
-		expected += time.Duration(max(ahead+1-slots, 0)) * s.typicalLatency(median) / time.Duration(slots)
+		wait += time.Duration(max(ahead+1-slots, 0)) * latency / time.Duration(slots)
 	}
-	return expected + time.Duration(s.errorRate*(errorPenaltyFactor*float64(expected)+float64(errorPenaltyTime)))
+	return wait
+}
+
+// failureCost returns the expected cost of failures of calls that take the given time.
+func failureCost(errorRate float64, expected time.Duration) time.Duration {
+	return time.Duration(errorRate * (errorPenaltyFactor*float64(expected) + float64(errorPenaltyTime)))
 }
 
 // typicalLatency returns the given median latency of a kind, scaled by the latency factor of the server; s.mu is held.
