--- a/core/watch/apply.go
+++ b/core/watch/apply.go
@@ -18,7 +18,7 @@
 	byWatch     origin = "a watch"
 	byCheck     origin = "a check of the watch"
 	byHost      origin = "another host"
-	byRelease   origin = "the end of the time for which the removal was held"
+	byRelease   origin = "the end of the time for which it was held"
 )
 
 // applyList applies a full list from the store.
@@ -170,10 +170,12 @@
 // known registration is ignored.
 func (w *Watcher) applyServer(o Object, by origin) {
 	delete(w.held, o.Name)
+	delete(w.late, o.Name)
 	known, ok := w.registrations[o.Name]
 	if o.Deleted {
 		delete(w.registrations, o.Name)
 		if ok {
+			w.removed.put(o.Name, w.lastRegistration(known, o), time.Now())
 			w.journal.Record("follow", o.Name, "gone", revisionText(o, by))
 		}
 		return
@@ -188,12 +190,32 @@
 		w.journal.Record("follow", o.Name, "registration ignored", "it is older than the known registration")
 		return
 	}
+	if !ok && w.removed.isLate(o.Name, r, time.Now()) {
+		w.journal.Record("follow", o.Name, "registration held", "its start and sequence are not newer than those of a removed entry")
+		w.late[o.Name] = lateRegistration{
+			object: o,
+			due:    time.Now().Add(lateRegistrationTime),
+		}
+		return
+	}
 	w.registrations[o.Name] = r
 	if !ok || known.Server.Draining != r.Server.Draining || known.Server.Incarnation != r.Server.Incarnation {
 		w.journal.Record("follow", o.Name, stateName(r.Server), revisionText(o, by))
 	}
 }
 
+// lastRegistration returns the newest registration of a server that is removed: the known one, or that in its removal.
+func (w *Watcher) lastRegistration(known Registration, removal Object) Registration {
+	if len(removal.Value) == 0 {
+		return known
+	}
+	last, err := w.decoder.Server(removal.Name, removal.Value, time.Now())
+	if err != nil || last.Before(known) {
+		return known
+	}
+	return last
+}
+
 // publishServers replaces the servers of the state by the known registrations.
 func (w *Watcher) publishServers() {
 	servers := make(map[string]topo.Server, len(w.registrations))
--- a/core/watch/watcher.go
+++ b/core/watch/watcher.go
@@ -70,8 +70,10 @@
 	changed chan struct{}
 	// holdUntil is the time until which removals of servers are held.
 	holdUntil time.Time
-	// held, registrations and evacuated are keyed by the name of the object.
+	// held, late, registrations and evacuated are keyed by the name of the object.
 	held          map[string]heldRemoval
+	late          map[string]lateRegistration
+	removed       removedServers
 	registrations map[string]Registration
 	evacuated     map[string]bool
 	// config is the newest configuration, and configCause tells what brought it. It is published once started is set, when
@@ -120,6 +122,8 @@
 		stated:        make(chan uint64, 1),
 		changed:       make(chan struct{}),
 		held:          make(map[string]heldRemoval),
+		late:          make(map[string]lateRegistration),
+		removed:       make(removedServers),
 		registrations: make(map[string]Registration),
 		evacuated:     make(map[string]bool),
 	}
@@ -256,7 +260,7 @@
 	}
 }
 
-// releaseDue applies the held removals that are due, unless the store is down. It also drops expired tombstones.
+// releaseDue applies the held removals and registrations that are due, unless the store is down. It also drops expired tombstones.
 func (w *Watcher) releaseDue(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -272,6 +276,7 @@
 		}
 	}
 	w.applyNewer(Servers, due, byRelease)
+	w.releaseLate(now)
 }
 
 // jitter returns a random duration between 0.5 d and 1.5 d, so that hosts don't retry all at once after an outage.
--- a/stand/site/site.go
+++ b/stand/site/site.go
@@ -162,8 +162,20 @@
 func (s *Site) Register(id, state string, warmupLeft time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	server := s.servers[id]
 	s.sequence++
+	s.putEntry(id, state, warmupLeft, s.sequence)
+}
+
+// RegisterLate writes the first entry of a server once more, as a store that executes a write late.
+func (s *Site) RegisterLate(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.putEntry(id, "ready", 0, 1)
+}
+
+// putEntry writes a server's entry with a sequence number. The caller holds mu.
+func (s *Site) putEntry(id, state string, warmupLeft time.Duration, sequence int) {
+	server := s.servers[id]
 	s.Store.Put("servers", id, Entry{
 		Service:      server.service,
 		Address:      server.advertised,
@@ -172,7 +184,7 @@
 		Concurrency:  4,
 		State:        state,
 		WarmupLeftMS: warmupLeft.Milliseconds(),
-		Sequence:     s.sequence,
+		Sequence:     sequence,
 		Born:         server.born,
 	})
 }
