--- a/stand/site/objecthandler.go
+++ b/stand/site/objecthandler.go
@@ -39,7 +39,7 @@
 	case StoreBusy:
 		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	case StoreSilent:
-		for o.currentState() == StoreSilent {
+		for o.currentState() == StoreSilent || o.isMuted(stand.OwnerOf(c.Conn())) {
 			time.Sleep(watchPollInterval)
 		}
 		c.HijackSetNoResponse(true)
@@ -73,6 +73,9 @@
 	default:
 		o.calls["list"]++
 	}
+	if o.muted[id] {
+		return StoreSilent
+	}
 	return o.state
 }
 
@@ -137,7 +140,7 @@
 			c.SetStatusCode(fasthttp.StatusGone)
 			return
 		case o.stalls(stand.OwnerOf(c.Conn()), kind) && time.Now().Before(deadline):
-		case len(events) > 0 && o.losesWatchAnswers():
+		case len(events) > 0 && (o.losesWatchAnswers() || o.isMuted(stand.OwnerOf(c.Conn()))):
 			c.HijackSetNoResponse(true)
 			c.Hijack(func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
 			return
--- a/stand/site/objectstore.go
+++ b/stand/site/objectstore.go
@@ -48,7 +48,9 @@
 	checkers map[string]bool
 	watchers map[string]bool
 	refused  map[string]bool
-	stalled  map[string][]string
+	// muted holds the hosts whose calls get no answer.
+	muted   map[string]bool
+	stalled map[string][]string
 	// cuts counts the calls of CutWatches, which drops the history deafTime later.
 	cuts int
 	// stale holds, for each kind, the objects that stale lists return, as they were at staleRevision; nil if such lists
@@ -90,6 +92,7 @@
 		checkers: make(map[string]bool),
 		watchers: make(map[string]bool),
 		refused:  make(map[string]bool),
+		muted:    make(map[string]bool),
 		stalled:  make(map[string][]string),
 		versions: make(map[string]map[string][]version),
 		revision: 1,
@@ -222,6 +225,19 @@
 	return o.refused[id]
 }
 
+// Mute makes the calls of a host get no answer, or no longer. Their connections are lost then.
+func (o *ObjectStore) Mute(id string, mute bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.muted[id] = mute
+}
+
+func (o *ObjectStore) isMuted(id string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.muted[id]
+}
+
 // Stall makes the watches of a host for some kinds, or for all if none is named, return nothing, while its lists are answered.
 func (o *ObjectStore) Stall(id string, kinds ...string) {
 	o.mu.Lock()
--- a/stand/site/stale_test.go
+++ b/stand/site/stale_test.go
@@ -170,6 +170,68 @@
 	}
 }
 
+// TestTroubleOfOneHostDelaysNoChange cuts one host off from the store, or freezes it, while an object of each kind changes. It is the
+// host that asks for the store's present revision, or another one. The next change comes once all are well.
+func TestTroubleOfOneHostDelaysNoChange(t *testing.T) {
+	const (
+		troubleTime  = 4500 * time.Millisecond
+		stableWindow = 4 * time.Second
+		applyTime    = 3 * time.Second
+	)
+	troubles := []struct {
+		name   string
+		change func(r *rig, host string, begins bool)
+	}{
+		{name: "silent store", change: func(r *rig, host string, begins bool) { r.site.Store.Mute(host, begins) }},
+		{name: "freeze", change: func(r *rig, host string, begins bool) { r.site.Network.Hold(host, begins) }},
+	}
+	for _, trouble := range troubles {
+		for _, checks := range []bool{true, false} {
+			for _, c := range staleCases[len(staleCases)/2:] { // The oldest data.
+				t.Run(fmt.Sprintf("%s, of the host that checks: %t, %s", trouble.name, checks, c.name), func(t *testing.T) {
+					var violations map[string]int
+					old, answered := 0, 0
+					inRig(t, func(r *rig) {
+						must(r.t, r.site.AddService("later", 3, 10*time.Millisecond))
+						for i := range 3 {
+							r.add(fmt.Sprintf("more-%d", i), "east")
+						}
+						r.site.Apply()
+						r.site.Store.Checkers()
+						time.Sleep(12 * time.Second)
+						checkers := r.site.Store.Checkers()
+						host := ""
+						for i := range r.hosts {
+							if id := r.hosts[i].settings.ID; checkers[id] == checks {
+								host = id
+							}
+						}
+						r.site.Store.SetStaleReads(c.age, c.presentAsOf)
+						trouble.change(r, host, true)
+						c.pass(r, troubleTime/4)
+						r.site.Apply()
+						r.site.Register("desk-0", "ready", 0)
+						r.site.Evacuate("north")
+						r.site.EndEvacuation("north")
+						c.pass(r, troubleTime*3/4)
+						trouble.change(r, host, false)
+						c.pass(r, stableWindow)
+						r.change()
+						c.pass(r, applyTime)
+						old, answered = r.arrivalsAfterChange(0, 1, 2, 3, 4, 5)
+						violations = r.site.ExecutionLog.Violations()
+					})
+					Convey("Every host has the next change in force within three seconds", t, func() {
+						So(old, ShouldEqual, 0)
+						So(violations, ShouldBeEmpty)
+						So(answered, ShouldEqual, 6*30)
+					})
+				})
+			}
+		}
+	}
+}
+
 // TestOneHostChecksTheStore runs fifteen hosts in three data centres on a store where nothing changes, and then stops the host that
 // asks for the store's present revision. If none did, a missed change would stay unknown; if all did, calls would grow with hosts.
 func TestOneHostChecksTheStore(t *testing.T) {
