Pause after verifications that bring nothing

Cause: found by reading the change: changes of kinds that no host watches are accounted for by no watch, so that every watcher verified all kinds each second. Change: after a verification that brought nothing a host pauses, for 10 s, and for 1.8 s if it is the one that checks the store, which tells others what it finds.

--- a/core/watch/verify.go
+++ b/core/watch/verify.go
@@ -23,6 +23,8 @@
 	// checkPeriod, answerDelay and, on other hosts, maxLag.
 	checkPeriod     = 1800 * time.Millisecond
 	checkTickPeriod = 100 * time.Millisecond
+	// followerVerifyPause is the pause after a verification that brought nothing, on hosts that don't check the store.
+	followerVerifyPause = 10 * time.Second
 	// answerDelay is the time within which a watch that waits brings a change; none is in its pause when a check is due.
 	answerDelay = 200 * time.Millisecond
 	// announcedHosts is the number of hosts that are told of a missed change, from which it spreads by their pings.
@@ -39,20 +41,34 @@
 }
 
 // verifyLoop verifies that the watches have brought all changes up to each revision that the store states. A watch whose reply
-// was lost waits on a connection that returns nothing any more, while calls on other ones are answered.
+// was lost waits on a connection that returns nothing any more, while calls on other ones are answered. What no watch accounts for
+// may also be changes of kinds that no host watches; after a verification that brings nothing there is a pause.
 func (w *Watcher) verifyLoop(ctx context.Context) error {
+	var pausedUntil time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case stated := <-w.stated:
-			if len(w.kindsBehind(stated)) > 0 && timer.Sleep(ctx, verifyDelay) == nil {
-				w.verify(ctx, stated)
+			if time.Now().Before(pausedUntil) || len(w.kindsBehind(stated)) == 0 || timer.Sleep(ctx, verifyDelay) != nil {
+				continue
+			}
+			if len(w.kindsBehind(stated)) > 0 && w.verify(ctx, stated) == 0 {
+				pausedUntil = time.Now().Add(w.verifyPause())
 			}
 		}
 	}
 }
 
+// verifyPause returns the time between verifications that bring nothing. The host that checks the store for the fleet tells others
+// what it finds.
+func (w *Watcher) verifyPause() time.Duration {
+	if w.membership.ChecksStore() {
+		return checkPeriod
+	}
+	return followerVerifyPause
+}
+
 // kindsBehind returns the kinds that are not known to be current at a revision of the store. A kind whose revision is not known
 // is about to be listed.
 func (w *Watcher) kindsBehind(revision uint64) []Kind {
@@ -68,9 +84,8 @@
 
 // verify asks the store for the changes of each kind that is not known up to a revision. The changes of one kind may account for
 // those that another one seemed to lack. Other hosts are told of what no watch had brought here, since their watches may have
-// missed it too.
-func (w *Watcher) verify(ctx context.Context, stated uint64) {
-	missed := 0
+// missed it too. It returns the number of changes that a watch should have brought.
+func (w *Watcher) verify(ctx context.Context, stated uint64) (missed int) {
 	for _, kind := range w.kindsBehind(stated) {
 		after := w.revision(kind)
 		if after == 0 || after >= stated {
@@ -83,6 +98,7 @@
 	if missed > 0 {
 		w.announce(ctx)
 	}
+	return missed
 }
 
 // ask asks for the changes of a kind after a revision. A stale list would not do, since it may lack changes up to the revision that
--- a/stand/site/stale_test.go
+++ b/stand/site/stale_test.go
@@ -265,6 +265,38 @@
 	})
 }
 
+// TestForeignChangesCostFewChecks changes objects of a kind that no host watches all the time. No watch accounts for these changes. A
+// change that all watches miss meanwhile is in force in time all the same.
+func TestForeignChangesCostFewChecks(t *testing.T) {
+	const period = 30 * time.Second
+	checks, old, answered := 0, 0, 0
+	inRig(t, func(r *rig) {
+		must(r.t, r.site.AddService("later", 3, 10*time.Millisecond))
+		r.site.Apply()
+		time.Sleep(10 * time.Second)
+		before := r.site.Store.Calls()["check"]
+		for n := range int(period / (100 * time.Millisecond)) {
+			r.site.Store.Put("leases", fmt.Sprintf("lease-%d", n%10), n)
+			time.Sleep(100 * time.Millisecond)
+		}
+		checks = r.site.Store.Calls()["check"] - before
+		r.site.Store.LoseWatchAnswers(true)
+		r.change()
+		time.Sleep(100 * time.Millisecond)
+		r.site.Store.LoseWatchAnswers(false)
+		for range 29 {
+			r.site.Store.Put("leases", "lease", 0)
+			time.Sleep(100 * time.Millisecond)
+		}
+		old, answered = r.arrivalsAfterChange(0, 1, 2)
+	})
+	Convey("Three watchers make fewer than three calls in a second, and the change is in force", t, func() {
+		So(checks, ShouldBeLessThan, 3*int(period/time.Second))
+		So(old, ShouldEqual, 0)
+		So(answered, ShouldEqual, 3*30)
+	})
+}
+
 // TestStaleListsTakeNothingBack takes a data centre out and adds a server, while stale lists return what was before. A host that
 // takes what such a list lacks for removed puts the data centre back in service, and drops the server for good.
 func TestStaleListsTakeNothingBack(t *testing.T) {
