Remove by full updates what another host still held

A full update of another host at that revision dropped the removal, since it is no newer than what the receiver states to know, and the server stayed in use until it changed. Change: what a full update lacks is removed whatever the receiver has stated; that statement only spares values. Measured: TestFullUpdatesRemoveWhatAnotherHostHeld failed before, passes now; go test ./core/watch ./stand/site passes.

--- a/core/watch/feed.go
+++ b/core/watch/feed.go
@@ -268,12 +268,12 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for kind := range kindCount {
-		objects := update.Objects[kind]
+		var removed []Object
 		if update.Full {
-			objects = append(w.cache.removals(kind, objects, update.Revisions[kind]), objects...)
+			removed = w.cache.removals(kind, update.Objects[kind], update.Revisions[kind])
 		}
 		w.cache.learn(kind, nil, update.Revisions[kind])
-		w.applyNewer(kind, newerThan(objects, update.After[kind]), byHost)
+		w.applyNewer(kind, append(removed, newerThan(update.Objects[kind], update.After[kind])...), byHost)
 	}
 }
 
--- a/core/watch/feed_test.go
+++ b/core/watch/feed_test.go
@@ -68,6 +68,27 @@
 	})
 }
 
+// TestFullUpdatesRemoveWhatAnotherHostHeld takes over a server whose removal the feeding host holds after an outage, and then the full
+// update of a host that doesn't. Both hosts know the kind up to the same revision.
+func TestFullUpdatesRemoveWhatAnotherHostHeld(t *testing.T) {
+	Convey("The server is removed", t, func() {
+		w := newTestWatcher()
+		w.applyUpdate(Update{
+			Full:      true,
+			Objects:   [kindCount][]Object{Servers: {{Name: "gone", Revision: 5}, {Name: "other", Revision: 6}}},
+			Revisions: Revisions{Servers: 10},
+		})
+		w.applyUpdate(Update{
+			Full:      true,
+			Objects:   [kindCount][]Object{Servers: {{Name: "other", Revision: 6}}},
+			Revisions: Revisions{Servers: 10},
+			After:     w.known(),
+		})
+		So(w.cache.entries[Servers]["gone"].object.Deleted, ShouldBeTrue)
+		So(w.cache.entries[Servers]["other"].object.Deleted, ShouldBeFalse)
+	})
+}
+
 // newTestWatcher returns a watcher that decodes nothing and makes no calls.
 func newTestWatcher() *Watcher {
 	return New(Options{
