--- a/core/watch/ping.go
+++ b/core/watch/ping.go
@@ -11,8 +11,8 @@
 	pingTimeout = 900 * time.Millisecond
 )
 
-// pingLoop pings the store at regular intervals while this host watches it, unless another call was answered just now. After an outage, all watches are cancelled,
-// since they may wait on connections that return nothing any more.
+// pingLoop pings the store at regular intervals while this host watches it, unless another call was answered just now. After an
+// outage, all watches are cancelled, since they may wait on connections that return nothing any more.
 func (w *Watcher) pingLoop(ctx context.Context) error {
 	ticks := w.timer.Subscribe(ctx, pingPeriod)
 	for {
