Let the stand-in throttle calls and answer slowly

Cause: two rows of the table of what the store may do had no stand-in. Change: states that answer 429 and that answer 240 ms late, drawn by the soak; two cases of TestIneligibleServersGetNoWork.

--- a/stand/site/objecthandler.go
+++ b/stand/site/objecthandler.go
@@ -44,13 +44,26 @@
 		}
 		c.HijackSetNoResponse(true)
 		c.Hijack(func(net.Conn) {})
+	case StoreThrottled:
+		c.SetStatusCode(fasthttp.StatusTooManyRequests)
+	case StoreSlow:
+		time.Sleep(slowTime)
+		o.answer(c, kind)
 	case StoreUp:
-		if c.QueryArgs().Has("watch") {
-			o.watch(c, kind)
-			return
-		}
-		o.list(c, kind)
+		o.answer(c, kind)
+	}
+}
+
+// slowTime is the time by which a slow store answers later; the platform states 4 ms for an answer and 60 times that at worst.
+const slowTime = 240 * time.Millisecond
+
+// answer serves a list or a watch.
+func (o *ObjectStore) answer(c *fasthttp.RequestCtx, kind string) {
+	if c.QueryArgs().Has("watch") {
+		o.watch(c, kind)
+		return
 	}
+	o.list(c, kind)
 }
 
 // countCall counts a call and returns the state in which the store handles it; hosts that are refused get StoreBusy and are not counted.
--- a/stand/site/objectstore.go
+++ b/stand/site/objectstore.go
@@ -29,6 +29,10 @@
 	StoreUp StoreState = iota
 	// StoreBusy answers 503.
 	StoreBusy
+	// StoreThrottled answers 429.
+	StoreThrottled
+	// StoreSlow answers after slowTime.
+	StoreSlow
 	// StoreSilent does not answer.
 	StoreSilent
 )
--- a/stand/site/rules_test.go
+++ b/stand/site/rules_test.go
@@ -90,6 +90,19 @@
 			time.Sleep(4 * time.Second)
 			s.Drain("desk-0", true)
 		}},
+		{name: "draining after the store throttled all calls", change: func(s *Site) {
+			s.Store.SetState(StoreThrottled)
+			time.Sleep(4 * time.Second)
+			s.Store.SetState(StoreUp)
+			time.Sleep(4 * time.Second)
+			s.Drain("sh-a-0", false)
+		}},
+		{name: "draining while the store is slow", change: func(s *Site) {
+			s.Store.SetState(StoreSlow)
+			time.Sleep(4 * time.Second)
+			s.Drain("sh-a-0", false)
+			s.Drain("desk-0", true)
+		}},
 		{name: "evacuated while watches are cut", change: func(s *Site) { s.Store.CutWatches(); s.Evacuate("east") }},
 		{name: "draining while watches are cut", change: func(s *Site) { s.Store.CutWatches(); s.Drain("sh-a-0", false) }},
 		{name: "address used by another service", change: func(s *Site) {
--- a/stand/soak/fault.go
+++ b/stand/soak/fault.go
@@ -31,6 +31,8 @@
 		}},
 		{name: "pause", run: pauseHost},
 		{name: "store_busy", run: degradeStore(site.StoreBusy)},
+		{name: "store_throttled", run: degradeStore(site.StoreThrottled)},
+		{name: "store_slow", run: degradeStore(site.StoreSlow)},
 		{name: "store_silent", run: degradeStore(site.StoreSilent)},
 		{name: "store_forgets", planned: true, run: func(_ context.Context, s *soak, _ *rand.Rand) error { s.site.Store.Compact(); return nil }},
 		{name: "store_cut", run: withProxyMode(func(s *soak, _ *rand.Rand) []*proxy { return []*proxy{s.storeProxy} }, dropFromServer)},
