Pause after a check of the store that fails

Cause: found by reading the change: a check that the store refuses at once, as one does whose rate of calls is used up, was repeated each 100 ms. Stale lists don't count toward the rate, so that pings showed no outage and nothing stopped it. Change: after a failed check the host pauses for about a second. Measured: TestFailedChecksAreNotRepeatedAtOnce, 20 s: 199 checks before, within 10 to 40 now. go test ./core/watch and the tests of stale lists pass.

--- a/core/watch/accounts.go
+++ b/core/watch/accounts.go
@@ -1,7 +1,7 @@
 package watch
 
-// maxSeenRevisions bounds the revisions that an accounts keeps beyond the accounted ones. More are forgotten, which costs calls
-// to the store but hides no change.
+// maxSeenRevisions bounds the revisions that are kept beyond the accounted ones. More are forgotten, which costs calls to the store
+// but hides no change.
 const maxSeenRevisions = 1 << 14
 
 // accounts tells up to which revision of the store every change is known. The store counts the changes of all kinds with one
--- a/core/watch/verify.go
+++ b/core/watch/verify.go
@@ -154,13 +154,15 @@
 // don't tell it, since stale lists may state the revision of their data.
 func (w *Watcher) checkLoop(ctx context.Context) error {
 	ticks := w.timer.Subscribe(ctx, checkTickPeriod)
+	var pausedUntil time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case tick := <-ticks:
-			if w.sinceUpToDate(tick.At) >= checkPeriod && !w.sourceDown.Load() && w.watchesStore() && w.membership.ChecksStore() {
-				w.check(ctx)
+			due := w.sinceUpToDate(tick.At) >= checkPeriod && tick.At.After(pausedUntil)
+			if due && !w.sourceDown.Load() && w.watchesStore() && w.membership.ChecksStore() && !w.check(ctx) {
+				pausedUntil = time.Now().Add(jitter(pingPeriod))
 			}
 		}
 	}
@@ -172,23 +174,24 @@
 }
 
 // check asks for the changes of the evacuations, the kind with the fewest objects, and verifies that all kinds are known up to the
-// revision of the answer.
-func (w *Watcher) check(ctx context.Context) {
+// revision of the answer. It reports whether the store has answered.
+func (w *Watcher) check(ctx context.Context) (answered bool) {
 	after := w.revision(Evacuations)
 	if after == 0 {
-		return
+		return false
 	}
 	changes, ok := w.ask(ctx, Evacuations, after)
 	if !ok {
-		return
+		return false
 	}
 	if len(w.kindsBehind(changes.Stated)) > 0 && timer.Sleep(ctx, answerDelay) != nil {
-		return
+		return true
 	}
 	if w.applyVerified(Evacuations, changes, changes.Stated) > 0 {
 		w.announce(ctx)
 	}
 	w.verify(ctx, changes.Stated)
+	return true
 }
 
 // missed counts the changes that are newer than the known ones and not newer than a revision.
--- a/core/watch/verify_test.go
+++ b/core/watch/verify_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 	. "github.com/smartystreets/goconvey/convey"
 	"golang.org/x/sync/errgroup"
 
@@ -38,6 +39,51 @@
 
 func (*deafStore) Ping(context.Context) (Changes, error) { return Changes{Stated: 10}, nil }
 
+// throttlingStore answers no watch that doesn't wait, and counts them; its stale lists are answered.
+type throttlingStore struct {
+	deafStore
+	checks atomic.Int32
+}
+
+func (s *throttlingStore) ChangesAfter(context.Context, Kind, uint64) (Changes, error) {
+	s.checks.Add(1)
+	return Changes{}, errors.New("too many calls")
+}
+
+// checkingWatcher is a loneWatcher that checks the store for the fleet.
+type checkingWatcher struct{ loneWatcher }
+
+func (checkingWatcher) ChecksStore() bool { return true }
+
+// TestFailedChecksAreNotRepeatedAtOnce lets the store refuse checks at once, as one does whose rate of calls is used up. Stale lists
+// don't count there, so that pings show no outage.
+func TestFailedChecksAreNotRepeatedAtOnce(t *testing.T) {
+	const period = 20 * time.Second
+	store := &throttlingStore{}
+	synctest.Test(t, func(*testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		ticks := timer.New()
+		w := New(Options{
+			Source:     store,
+			Peers:      loneWatcher{},
+			Membership: checkingWatcher{},
+			Decoder:    noDecoder{},
+			State:      topo.NewCurrent(),
+			Timer:      ticks,
+			Journal:    trace.NewJournal(hclog.NewNullLogger()),
+		})
+		var tasks errgroup.Group
+		tasks.Go(func() error { return ticks.Run(ctx) })
+		tasks.Go(func() error { return w.Run(ctx) })
+		time.Sleep(period)
+		cancel()
+		_ = tasks.Wait()
+	})
+	Convey("A failed check is repeated about once a second", t, func() {
+		So(int(store.checks.Load()), ShouldBeBetween, int(period/(2*time.Second)), int(period/(500*time.Millisecond)))
+	})
+}
+
 // loneWatcher is the membership of a host that watches the store and knows no other host. Its peers answer nothing.
 type loneWatcher struct{}
 
