Put a reply's configuration in force as one change

Cause: The scopes of a reply of the store or a peer were put in force one by one. A host that starts relied on its configuration once the first was there, and refused requests for the other collections with 404, as invalid, which tells callers not to retry. Change: All objects of a reply are merged at once, and before the host counts as refreshed after a pause. Conclusion: A part of that fault: the routing table still follows the configuration later.

--- a/core/config/current.go
+++ b/core/config/current.go
@@ -24,21 +24,23 @@
 // State returns the state in force.
 func (c *Current) State() State { return *c.state.Load() }
 
-// Merge puts the objects in force that are newer than those of the state, and reports whether there were any.
-func (c *Current) Merge(objects ...Object) bool {
+// Merge puts the objects that are newer than those of the state in force, all at once, and returns them.
+func (c *Current) Merge(objects ...Object) (merged []Object) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	state, changed := *c.state.Load(), false
+	state := *c.state.Load()
 	for _, o := range objects {
 		next, newer := state.With(o)
-		state, changed = next, changed || newer
+		if newer {
+			state, merged = next, append(merged, o)
+		}
 	}
-	if changed {
+	if len(merged) > 0 {
 		c.state.Store(&state)
 		close(c.changed)
 		c.changed = make(chan struct{})
 	}
-	return changed
+	return merged
 }
 
 // Changed returns a channel that is closed at the next change of the state.
--- a/core/syncer/syncer.go
+++ b/core/syncer/syncer.go
@@ -123,11 +123,10 @@
 // from names the sender in the journal.
 func (s *Syncer) apply(from string, objects []config.Object) {
 	s.RecordContact()
+	merged := s.config.Merge(objects...)
 	s.refreshing.Store(false)
-	for _, o := range objects {
-		if s.config.Merge(o) {
-			s.journal.Record("spread", o.Scope, "in force", "received from "+from)
-		}
+	for _, o := range merged {
+		s.journal.Record("spread", o.Scope, "in force", "received from "+from)
 	}
 }
 
