Count a host as ready once its routing table is built

Cause: Readiness looked at the configuration, requests at the routing table that another goroutine builds from it later. A host that had just become ready refused requests with 404, "collection does not exist", which tells callers that no retry can help; forwarded orders didn't ask for readiness at all. Change: Without a routing table the host is not ready, and requests, also forwarded ones, are not_run.

--- a/core/gather/gatherer.go
+++ b/core/gather/gatherer.go
@@ -50,6 +50,17 @@
 	}
 }
 
+// noRoutes is the reason why a host runs no requests before its routing table is built.
+const noRoutes = "the routing table has not been built yet"
+
+// Ready reports whether requests can be routed; if not, reason says why.
+func (g *Gatherer) Ready() (reason string, ok bool) {
+	if g.options.Routes.Load().Config.Empty() {
+		return noRoutes, false
+	}
+	return "", true
+}
+
 // Run validates and runs a request. The error is a query.Refusal.
 func (g *Gatherer) Run(ctx context.Context, req query.Request) (query.Answer, error) {
 	started := time.Now()
@@ -81,8 +92,15 @@
 	return g.search(ctx, req, kind, started)
 }
 
-// validate returns the kind of a request, or query.Invalid for one that no retry can make valid.
+// validate returns the kind of a request, query.NotRun before the routing table is built, or query.Invalid for a request that
+// no retry can make valid.
 func (g *Gatherer) validate(req query.Request) (config.Kind, error) {
+	if reason, ok := g.Ready(); !ok {
+		return config.Kind{}, query.NotRun{
+			Reason:     reason,
+			RetryAfter: retryAfter,
+		}
+	}
 	table := g.options.Routes.Load()
 	collection, ok := table.Config.Collection(req.Collection)
 	if !ok {
--- a/host.go
+++ b/host.go
@@ -229,7 +229,10 @@
 			return string(p.Type) + " " + p.Name + " is taken out of service", false
 		}
 	}
-	return h.syncer.Usable()
+	if reason, ok := h.syncer.Usable(); !ok {
+		return reason, false
+	}
+	return h.gatherer.Ready()
 }
 
 // Versions returns the versions of the configuration in force.
