End watches before the store drops the changes since they began

Cause: A watch waited for 25 s, the store keeps its changes for 20 s. A kind that hadn't changed was answered 410 at the end of each watch and listed anew: two calls for one on every watching host. Measured: The stand-in's store drops changes after 20 s now. TestQuietKindsAreNotListedAnew: 13 lists in a minute without the change, 0 with it. TestFewHostsWatchTheStore failed in 1 of 6 runs with the shorter wait alone, since a watch began at the revision of a stale list; 0 of 40 with the age.

--- a/core/watch/verify.go
+++ b/core/watch/verify.go
@@ -109,6 +109,7 @@
 	changes, err := w.source.ChangesAfter(callCtx, kind, after)
 	switch {
 	case err == nil:
+		w.recordStated(kind, time.Now())
 		w.upToDateAt.Store(time.Now().UnixNano())
 		return changes, true
 	case errors.Is(err, ErrHistoryGone):
--- a/core/watch/watcher.go
+++ b/core/watch/watcher.go
@@ -177,28 +177,29 @@
 
 // listOrWatch makes one call to the store and applies its result: a list if the revision is not known, else a watch.
 func (w *Watcher) listOrWatch(ctx context.Context, kind Kind, stale bool) error {
-	after := w.revision(kind)
+	after, began := w.revision(kind), time.Now()
 	if after == 0 {
 		changes, err := w.source.List(ctx, kind, stale)
 		if err != nil {
 			return errors.Wrapf(err, "list %s", kind)
 		}
-		by := byList
 		if stale {
-			by = byStaleList
+			w.applyList(kind, changes, byStaleList)
+			return nil
 		}
-		w.applyList(kind, changes, by)
+		w.applyList(kind, changes, byList)
+		w.recordStated(kind, began)
 		return nil
 	}
 	watchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	w.watchCancels[kind].Store(&cancel)
-	began := time.Now()
-	changes, err := w.source.Watch(watchCtx, kind, after)
+	changes, err := w.source.Watch(watchCtx, kind, after, w.sinceStated(kind))
 	if err != nil {
 		return errors.Wrapf(err, "watch %s", kind)
 	}
 	w.applyChanges(kind, changes, byWatch)
+	w.recordStated(kind, time.Now())
 	w.upToDateAt.Store(time.Now().UnixNano())
 	w.recordStatement(changes.Stated)
 	if len(changes.Objects) > 0 || time.Since(began) < watchPause {
@@ -228,6 +229,20 @@
 	return w.cache.revisions[kind]
 }
 
+// recordStated records that the store has stated the revision of a kind at a time.
+func (w *Watcher) recordStated(kind Kind, at time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cache.statedAt[kind] = at
+}
+
+// sinceStated returns the time since the store stated the revision of a kind, which is long if that is not known.
+func (w *Watcher) sinceStated(kind Kind) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Since(w.cache.statedAt[kind])
+}
+
 // forgetRevision makes the next call for the kind a list.
 func (w *Watcher) forgetRevision(kind Kind) {
 	w.mu.Lock()
--- a/stand/site/objecthandler.go
+++ b/stand/site/objecthandler.go
@@ -172,6 +172,7 @@
 func (o *ObjectStore) eventsAfter(kind string, after uint64) (events []event, revision uint64, compacted bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.forgetOld(time.Now())
 	if after < o.oldest {
 		return nil, 0, true
 	}
--- a/stand/site/objectstore.go
+++ b/stand/site/objectstore.go
@@ -18,6 +18,8 @@
 	pageSize = 20
 	// watchPollInterval is the time between two checks of a waiting watch for changes.
 	watchPollInterval = 10 * time.Millisecond
+	// historyTime is the time after which changes leave the history.
+	historyTime = 20 * time.Second
 )
 
 // StoreState is how the store handles calls.
@@ -84,6 +86,7 @@
 // event is a change of an object, in the platform's format.
 type event struct {
 	kind    string
+	at      time.Time
 	Object  object `json:"object"`
 	Deleted bool   `json:"deleted"`
 }
@@ -147,6 +150,7 @@
 	o.recordVersion(kind, stored, false)
 	o.history = append(o.history, event{
 		kind:   kind,
+		at:     time.Now(),
 		Object: stored,
 	})
 }
@@ -165,6 +169,7 @@
 	o.recordVersion(kind, stored, true)
 	o.history = append(o.history, event{
 		kind:    kind,
+		at:      time.Now(),
 		Object:  stored,
 		Deleted: true,
 	})
@@ -185,7 +190,15 @@
 	o.oldest = o.revision
 }
 
-// Calls returns the number of calls by type: list, stale (a list with stale_ok), watch and check (a watch that doesn't wait).
+// forgetOld drops the changes that are older than historyTime. The caller holds mu.
+func (o *ObjectStore) forgetOld(now time.Time) {
+	for len(o.history) > 0 && now.Sub(o.history[0].at) > historyTime {
+		o.oldest = o.history[0].Object.Meta.Revision
+		o.history = o.history[1:]
+	}
+}
+
+// Calls returns the number of calls by type: list, stale (a list with stale_ok), watch, check (a watch that doesn't wait) and write.
 func (o *ObjectStore) Calls() map[string]int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
