Go on from what other kinds account for when a watch's history is gone

If the changes of the other kinds show meanwhile that the kind is known up to a later revision than that of the watch, the next watch begins there; else it is listed anew as before.

--- a/core/setup/platform.go
+++ b/core/setup/platform.go
@@ -22,8 +22,6 @@
 	CallerAddress string `json:"caller_address"`
 	ReadyAddress  string `json:"ready_address"`
 	ObjectAddress string `json:"object_address"`
-	// History is the time for which the store keeps its changes for watches; 0 means that it is not stated.
-	History time.Duration `json:"history" min:"0s" max:"24h"`
 	// Grace is the time after which the platform kills a process that was asked to shut down; 0 means that it is not stated.
 	Grace time.Duration `json:"grace" min:"0s" max:"10m"`
 	// RetryShare and RetrySlack bound the retries, hedges and mirrored calls of all hosts together to one service within
--- a/core/watch/feed.go
+++ b/core/watch/feed.go
@@ -272,9 +272,6 @@
 		if update.Full {
 			removed = w.cache.removals(kind, update.Objects[kind], update.Revisions[kind])
 		}
-		if update.Revisions[kind] > w.cache.revisions[kind] {
-			w.cache.statedAt[kind] = time.Now().Add(-assumedAge)
-		}
 		w.cache.learn(kind, nil, update.Revisions[kind])
 		w.applyNewer(kind, append(removed, newerThan(update.Objects[kind], update.After[kind])...), byHost)
 	}
--- a/core/watch/object.go
+++ b/core/watch/object.go
@@ -62,9 +62,9 @@
 	// List returns all objects of a kind. A stale list is cheap but may be seconds old, by an age that its stated revision does
 	// not tell.
 	List(ctx context.Context, kind Kind, stale bool) (Changes, error)
-	// Watch waits for changes after a revision and returns them, or none if none came for some time. The wait is shorter the
-	// longer ago the revision was the store's present one. The error is ErrHistoryGone when the changes are no longer kept.
-	Watch(ctx context.Context, kind Kind, after uint64, age time.Duration) (Changes, error)
+	// Watch waits for changes after a revision and returns them, or none if none came for some time.
+	// The error is ErrHistoryGone when the changes are no longer kept.
+	Watch(ctx context.Context, kind Kind, after uint64) (Changes, error)
 	// ChangesAfter returns the changes up to now after a revision, without waiting. The error is as for Watch.
 	ChangesAfter(ctx context.Context, kind Kind, after uint64) (Changes, error)
 	// Ping returns no error if the store answers. The result is a stale list of the evacuations, or empty if it is not whole.
--- a/core/watch/objectcache.go
+++ b/core/watch/objectcache.go
@@ -14,10 +14,7 @@
 	expired  uint64
 	// revisions holds the store's revision up to which each kind is known; 0 if a list is needed.
 	revisions Revisions
-	// statedAt holds the time at which the store stated the revision of a kind as its present one, or assumedAge before this host
-	// learned it from a stale list or another host.
-	statedAt [kindCount]time.Time
-	accounts accounts
+	accounts  accounts
 	// newest holds the revision of the newest object of each kind, removals included.
 	newest Revisions
 }
--- a/core/watch/verify.go
+++ b/core/watch/verify.go
@@ -109,12 +109,10 @@
 	changes, err := w.source.ChangesAfter(callCtx, kind, after)
 	switch {
 	case err == nil:
-		w.recordStated(kind, time.Now())
 		w.upToDateAt.Store(time.Now().UnixNano())
 		return changes, true
 	case errors.Is(err, ErrHistoryGone):
-		w.journal.Record("follow", kind.String(), "listed anew", err.Error())
-		w.forgetRevision(kind)
+		w.historyGone(kind, after, err)
 		w.cancelWatch(kind)
 	case ctx.Err() == nil:
 		w.journal.Record("follow", kind.String(), "not verified", err.Error())
--- a/core/watch/verify_test.go
+++ b/core/watch/verify_test.go
@@ -27,7 +27,7 @@
 	return Changes{Revision: 10, Stated: 10}, nil
 }
 
-func (s *deafStore) Watch(ctx context.Context, kind Kind, _ uint64, _ time.Duration) (Changes, error) {
+func (s *deafStore) Watch(ctx context.Context, kind Kind, _ uint64) (Changes, error) {
 	s.watches[kind].Add(1)
 	<-ctx.Done()
 	return Changes{}, ctx.Err()
--- a/core/watch/watcher.go
+++ b/core/watch/watcher.go
@@ -30,8 +30,6 @@
 	reregisterTime = 2500 * time.Millisecond
 	// holdCheckPeriod is the time between two checks for held removals that are due, and for changes that are overdue.
 	holdCheckPeriod = 100 * time.Millisecond
-	// assumedAge is the assumed age of a revision that a stale list or another host has told.
-	assumedAge = 8 * time.Second
 	// firstListDelay is the time for which a starting host waits for the state of other hosts before it lists the store.
 	firstListDelay = 50 * time.Millisecond
 )
@@ -161,13 +159,13 @@
 			_ = timer.Sleep(ctx, roleCheckPeriod)
 			continue
 		}
-		err := w.listOrWatch(ctx, kind, first)
+		after := w.revision(kind)
+		err := w.listOrWatch(ctx, kind, after, first)
 		switch {
 		case err == nil:
 			backoff = minBackoff
 		case errors.Is(err, ErrHistoryGone):
-			w.journal.Record("follow", kind.String(), "listed anew", err.Error())
-			w.forgetRevision(kind)
+			w.historyGone(kind, after, err)
 		case ctx.Err() == nil:
 			w.journal.Record("follow", kind.String(), "call failed", err.Error())
 			_ = timer.Sleep(ctx, jitter(backoff))
@@ -177,32 +175,29 @@
 	return nil
 }
 
-// listOrWatch makes one call to the store and applies its result: a list if the revision is not known, else a watch.
-func (w *Watcher) listOrWatch(ctx context.Context, kind Kind, stale bool) error {
-	after, began := w.revision(kind), time.Now()
+// listOrWatch makes one call to the store and applies its result: a watch for what changed after a revision, or a list if that is 0.
+func (w *Watcher) listOrWatch(ctx context.Context, kind Kind, after uint64, stale bool) error {
 	if after == 0 {
 		changes, err := w.source.List(ctx, kind, stale)
 		if err != nil {
 			return errors.Wrapf(err, "list %s", kind)
 		}
+		by := byList
 		if stale {
-			w.applyList(kind, changes, byStaleList)
-			w.recordStated(kind, began.Add(-assumedAge))
-			return nil
+			by = byStaleList
 		}
-		w.applyList(kind, changes, byList)
-		w.recordStated(kind, began)
+		w.applyList(kind, changes, by)
 		return nil
 	}
 	watchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	w.watchCancels[kind].Store(&cancel)
-	changes, err := w.source.Watch(watchCtx, kind, after, w.sinceStated(kind))
+	began := time.Now()
+	changes, err := w.source.Watch(watchCtx, kind, after)
 	if err != nil {
 		return errors.Wrapf(err, "watch %s", kind)
 	}
 	w.applyChanges(kind, changes, byWatch)
-	w.recordStated(kind, time.Now())
 	w.upToDateAt.Store(time.Now().UnixNano())
 	w.recordStatement(changes.Stated)
 	if len(changes.Objects) > 0 || time.Since(began) < watchPause {
@@ -232,25 +227,17 @@
 	return w.cache.revisions[kind]
 }
 
-// recordStated records that the store has stated the revision of a kind at a time.
-func (w *Watcher) recordStated(kind Kind, at time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.cache.statedAt[kind] = at
-}
-
-// sinceStated returns the time since the store stated the revision of a kind.
-func (w *Watcher) sinceStated(kind Kind) time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return time.Since(w.cache.statedAt[kind])
-}
-
-// forgetRevision makes the next call for the kind a list.
-func (w *Watcher) forgetRevision(kind Kind) {
+// historyGone handles that the store no longer keeps the changes after a revision, as at the end of a watch of a kind that has not
+// changed for long. The kind is listed anew, unless the changes of other kinds have shown meanwhile that it is known up to a later
+// revision.
+func (w *Watcher) historyGone(kind Kind, after uint64, cause error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.cache.revisions[kind] > after {
+		return
+	}
 	w.cache.revisions[kind] = 0
+	w.journal.Record("follow", kind.String(), "listed anew", cause.Error())
 }
 
 // extendHold holds removals until servers have had time to register again, and wakes waiting feeds so that they fail.
--- a/gateway.go
+++ b/gateway.go
@@ -81,7 +81,7 @@
 		Self:       h.settings.ID,
 	})
 	g.watcher = watch.New(watch.Options{
-		Source:     platform.NewStore(platformSettings.ObjectAddress, g.dialStore, platformSettings.History, h.meter.CountEvent),
+		Source:     platform.NewStore(platformSettings.ObjectAddress, g.dialStore, h.meter.CountEvent),
 		Peers:      h.peers,
 		Membership: hosts,
 		Decoder:    platform.Decoder{},
--- a/stand/site/site.go
+++ b/stand/site/site.go
@@ -283,7 +283,6 @@
 	settings.LeaveWait, settings.StopLimit = 2200*time.Millisecond, 5*time.Second
 	settings.Platform = setup.Platform{
 		ObjectAddress: s.storeAddress,
-		History:       historyTime,
 		RetryShare:    0.2,
 		RetrySlack:    50,
 		RetryWindow:   10 * time.Second,
