Let hosts that know no other one be found through the store

Cause: A host whose peers are all down or stale (DEPLOY.md: seeds "may be stale or down") stayed alone until one answered: it divided the fleet's bounds by 128 and watched the store by itself. Change: core/beacon. Such a host puts up a beacon, an object with its address, 2 s after its start; the host that checks the store joins the owners of beacons every 5 s. Beacons are removed by their hosts after 20 s or at their end, and by the fleet after 30 s. platform/beacons.go has the calls. The stand-in's store takes writes. The soak draws seeds_down. TestIsolatedHostsStayWithinWarmupRate turns writes away now, so that its hosts stay isolated as before.

--- a/gateway.go
+++ b/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"magnoliaworks/core/beacon"
 	"magnoliaworks/core/limit"
 	"magnoliaworks/core/pool"
 	"magnoliaworks/core/relay"
@@ -46,6 +47,7 @@
 	relay     *relay.Relay
 	pool      *pool.Pool
 	watcher   *watch.Watcher
+	beacons   *beacon.Keeper
 	listener  *entry.Listener
 	readiness *entry.ReadinessListener
 }
@@ -91,6 +93,16 @@
 		DataCentre: h.settings.DataCentre,
 	})
 	h.peers.SetAnnouncer(g.watcher)
+	own := beacon.Beacon{
+		ID:         h.settings.ID,
+		Address:    h.settings.PeerAddress,
+		DataCentre: h.settings.DataCentre,
+	}
+	beacons := platform.NewBeacons(platformSettings.ObjectAddress, g.dialStore, h.meter.CountEvent)
+	g.beacons = beacon.New(own, beacons, hostFinder{
+		membership: hosts,
+		peers:      h.peers,
+	}, h.timer, h.journal)
 	g.listener = entry.New(g.relay, g.state, h.timer, h.log.Named("entry"))
 	g.readiness = entry.NewReadinessListener(g, h.log.Named("ready"))
 	return g
@@ -131,6 +143,7 @@
 	group.Go(func() error { return g.pool.Run(ctx) })
 	group.Go(func() error { return g.relay.Run(ctx) })
 	group.Go(func() error { return g.watcher.Run(ctx) })
+	group.Go(func() error { return g.beacons.Run(ctx) })
 	group.Go(func() error { return g.listener.Serve(callers) })
 	group.Go(func() error { return g.listener.Sweep(ctx) })
 	group.Go(func() error { return g.readiness.Serve(balancer) })
--- a/join.go
+++ b/join.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"magnoliaworks/core/timer"
+	"magnoliaworks/io/peer"
 )
 
 const (
@@ -107,3 +108,14 @@
 	}
 	return addresses
 }
+
+// hostFinder implements beacon.Fleet.
+type hostFinder struct {
+	*membership
+	peers *peer.Client
+}
+
+// Join implements beacon.Fleet.
+func (f hostFinder) Join(ctx context.Context, address string) error {
+	return f.peers.Join(ctx, address)
+}
--- a/membership.go
+++ b/membership.go
@@ -81,6 +81,9 @@
 	return !ms.met.Load() && len(ms.peers()) > 0
 }
 
+// Alone reports whether no other host is known, not even an unreachable one.
+func (ms *membership) Alone() bool { return len(ms.table.View().Members()) < 2 }
+
 // Available implements relay.Membership.
 func (ms *membership) Available() []member.Member { return ms.table.View().Available() }
 
--- a/stand/site/objecthandler.go
+++ b/stand/site/objecthandler.go
@@ -57,13 +57,16 @@
 // slowTime is the time by which a slow store answers later; the platform states 4 ms for an answer and 60 times that at worst.
 const slowTime = 240 * time.Millisecond
 
-// answer serves a list or a watch.
+// answer serves a list, a watch or a change of one object.
 func (o *ObjectStore) answer(c *fasthttp.RequestCtx, kind string) {
-	if c.QueryArgs().Has("watch") {
+	switch {
+	case !c.IsGet():
+		o.change(c, kind)
+	case c.QueryArgs().Has("watch"):
 		o.watch(c, kind)
-		return
+	default:
+		o.list(c, kind)
 	}
-	o.list(c, kind)
 }
 
 // countCall counts a call and returns the state in which the store handles it; hosts that are refused get StoreBusy and are not counted.
@@ -75,6 +78,8 @@
 		return StoreBusy
 	}
 	switch {
+	case !c.IsGet():
+		o.calls["write"]++
 	case c.QueryArgs().Has("watch") && c.QueryArgs().GetUintOrZero("wait_ms") <= 1:
 		o.checkers[id] = true
 		o.calls["check"]++
@@ -89,6 +94,9 @@
 	if o.muted[id] {
 		return StoreSilent
 	}
+	if o.throttlesWrites && !c.IsGet() {
+		return StoreThrottled
+	}
 	return o.state
 }
 
--- a/stand/site/objectstore.go
+++ b/stand/site/objectstore.go
@@ -68,7 +68,9 @@
 	versions   map[string]map[string][]version
 	// losesWatches makes answers to watches that have events get lost.
 	losesWatches bool
-	http         *fasthttp.Server
+	// throttlesWrites makes calls that change objects get 429.
+	throttlesWrites bool
+	http            *fasthttp.Server
 }
 
 // meta identifies a version of an object, in the platform's format.
--- a/stand/site/rules_test.go
+++ b/stand/site/rules_test.go
@@ -187,6 +187,8 @@
 					r.site.Config.Services[i].WarmupPerS = rate
 				}
 				r.site.Apply()
+				// Beacons would let the isolated hosts find the others.
+				r.site.Store.ThrottleWrites()
 				for n := range c.isolated {
 					down, err := r.site.Network.Address("east", "down")
 					must(r.t, err)
--- a/stand/soak/fault.go
+++ b/stand/soak/fault.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"magnoliaworks/core/timer"
+	"magnoliaworks/stand"
 	"magnoliaworks/stand/site"
 )
 
@@ -29,6 +30,7 @@
 			s.randomHost(r).signal(syscall.SIGHUP)
 			return nil
 		}},
+		{name: "seeds_down", planned: true, run: restartWithoutPeers},
 		{name: "pause", run: pauseHost},
 		{name: "store_busy", run: degradeStore(site.StoreBusy)},
 		{name: "store_throttled", run: degradeStore(site.StoreThrottled)},
@@ -60,6 +62,19 @@
 	}
 }
 
+// restartWithoutPeers starts a host anew with a peer at which nobody listens.
+func restartWithoutPeers(_ context.Context, s *soak, r *rand.Rand) error {
+	down, err := stand.FreeAddress()
+	if err != nil {
+		return err
+	}
+	h := s.randomHost(r)
+	if err := h.writeSettings([]string{down}); err != nil {
+		return err
+	}
+	return h.restart(syscall.SIGTERM)
+}
+
 // pauseHost stops a process for 1 to 3 s and continues it.
 func pauseHost(ctx context.Context, s *soak, r *rand.Rand) error {
 	h := s.randomHost(r)
--- a/stand/soak/host.go
+++ b/stand/soak/host.go
@@ -67,14 +67,24 @@
 		settings: s,
 		file:     filepath.Join(directory, s.ID+".jsonc"),
 	}
-	p := s.Platform
+	if err := h.writeSettings(s.Peers); err != nil {
+		return nil, err
+	}
+	var err error
+	h.log, err = os.Create(filepath.Join(directory, s.ID+".log"))
+	return h, errors.Wrap(err, "create log")
+}
+
+// writeSettings writes the settings file with the given peers.
+func (h *host) writeSettings(peers []string) error {
+	s, p := h.settings, h.settings.Platform
 	data, err := json.MarshalIndent(settingsFile{
 		ID:              s.ID,
 		DataCentre:      s.DataCentre,
 		CallerAddress:   s.CallerAddress,
 		OperatorAddress: s.OperatorAddress,
 		PeerAddress:     s.PeerAddress,
-		Peers:           s.Peers,
+		Peers:           peers,
 		LogFormat:       "json",
 		LeaveWait:       "1s",
 		StopLimit:       "4s",
@@ -90,13 +100,9 @@
 		},
 	}, "", "  ")
 	if err != nil {
-		return nil, errors.Wrap(err, "encode settings")
-	}
-	if err := os.WriteFile(h.file, data, 0o600); err != nil {
-		return nil, errors.Wrap(err, "write settings")
+		return errors.Wrap(err, "encode settings")
 	}
-	h.log, err = os.Create(filepath.Join(directory, s.ID+".log"))
-	return h, errors.Wrap(err, "create log")
+	return errors.Wrap(os.WriteFile(h.file, data, 0o600), "write settings")
 }
 
 func (h *host) start() error {
