--- a/stand/site/objectchange.go
+++ b/stand/site/objectchange.go
@@ -42,13 +42,6 @@
 	return stored, exists
 }
 
-// ThrottleWrites makes the calls of hosts that change objects get 429.
-func (o *ObjectStore) ThrottleWrites() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.throttlesWrites = true
-}
-
 // Names returns the names of the objects of a kind.
 func (o *ObjectStore) Names(kind string) []string {
 	o.mu.Lock()
