Pause after a refused removal of a beacon, and join unknown hosts only

Cause: Read again: a removal that the store refuses was repeated each second, at the price of a call; hosts that were joined already were joined again at each look. Beacons of known hosts are not followed.

--- a/core/beacon/beacon.go
+++ b/core/beacon/beacon.go
@@ -59,8 +59,9 @@
 
 // Fleet is what the host knows of other hosts.
 type Fleet interface {
-	// Alone reports whether no other host is known.
+	// Alone reports whether no other host is known, and Knows whether a host is known and takes work.
 	Alone() bool
+	Knows(id string) bool
 	// ChecksStore reports whether this host looks at the store on behalf of the fleet.
 	ChecksStore() bool
 	// Join makes this host and the one at an address known to each other.
@@ -85,9 +86,11 @@
 	nextLook  time.Time
 	// period is the time between two looks of a host that knows no other one.
 	period time.Duration
-	// up is set while this host's beacon may be in the store, and putAt is the time at which it was put up.
-	up    bool
-	putAt time.Time
+	// up is set while this host's beacon may be in the store. putAt is the time at which it was put up, and removeAt that from
+	// which it is removed once another host is known.
+	up       bool
+	putAt    time.Time
+	removeAt time.Time
 	// looks counts the looks at which each beacon was found, by its owner and revision.
 	looks map[Beacon]int
 	// failed is set while calls to the store fail, so that only the first failure is recorded.
@@ -132,7 +135,7 @@
 	if !alone {
 		k.state.period = minPeriod
 	}
-	if !alone && now.Sub(k.state.putAt) > holdTime {
+	if !alone && now.After(k.state.removeAt) {
 		k.removeOwn(ctx, "another host is known")
 	}
 	if now.Before(k.state.nextLook) || now.Sub(k.state.startedAt) < patience {
@@ -161,8 +164,8 @@
 	if err != nil {
 		return
 	}
-	others, own := k.split(listed)
-	k.join(ctx, others)
+	unknown, own := k.split(listed)
+	k.join(ctx, unknown)
 	switch {
 	case !alone:
 		k.removeLeftOver(ctx, listed)
@@ -171,17 +174,17 @@
 	}
 }
 
-// split returns the beacons of other hosts, and whether this host's is among the listed ones.
-func (k *Keeper) split(listed []Beacon) (others []Beacon, own bool) {
+// split returns the beacons of hosts that are not known, and whether this host's is among the listed ones.
+func (k *Keeper) split(listed []Beacon) (unknown []Beacon, own bool) {
 	for _, b := range listed {
 		switch {
-		case b.ID != k.self.ID:
-			others = append(others, b)
-		case b.Address == k.self.Address:
-			own = true
+		case b.ID == k.self.ID:
+			own = own || b.Address == k.self.Address
+		case !k.fleet.Knows(b.ID):
+			unknown = append(unknown, b)
 		}
 	}
-	return others, own
+	return unknown, own
 }
 
 // join joins the owners of up to maxJoins beacons.
@@ -226,7 +229,7 @@
 func (k *Keeper) put(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	k.state.up, k.state.putAt = true, time.Now()
+	k.state.up, k.state.putAt, k.state.removeAt = true, time.Now(), time.Now().Add(holdTime)
 	err := k.store.Put(callCtx, k.self)
 	k.recordFailure("put", err)
 	if err == nil {
@@ -234,7 +237,7 @@
 	}
 }
 
-// removeOwn removes this host's beacon if it may be in the store.
+// removeOwn removes this host's beacon if it may be in the store. A failed removal is repeated after fleetPeriod.
 func (k *Keeper) removeOwn(ctx context.Context, cause string) {
 	if !k.state.up {
 		return
@@ -243,6 +246,7 @@
 	defer cancel()
 	err := k.store.Remove(callCtx, k.self)
 	k.recordFailure("remove", err)
+	k.state.removeAt = time.Now().Add(fleetPeriod)
 	if err == nil {
 		k.state.up, k.state.putAt = false, time.Time{}
 		k.journal.Record("beacon", k.self.ID, "removed", cause)
--- a/membership.go
+++ b/membership.go
@@ -84,6 +84,11 @@
 // Alone reports whether no other host is known, not even an unreachable one.
 func (ms *membership) Alone() bool { return len(ms.table.View().Members()) < 2 }
 
+// Knows reports whether a host is known and takes work.
+func (ms *membership) Knows(id string) bool {
+	return slices.ContainsFunc(ms.table.View().Available(), func(m member.Member) bool { return m.ID == id })
+}
+
 // Available implements relay.Membership.
 func (ms *membership) Available() []member.Member { return ms.table.View().Available() }
 
