--- a/io/entry/listener_test.go
+++ b/io/entry/listener_test.go
@@ -333,6 +333,33 @@
 	})
 }
 
+// TestHalfClosedCallersCountAsGone closes only the sending side of a connection while its request is in progress. A host can't tell
+// that from a caller that left, whose work must end.
+func TestHalfClosedCallersCountAsGone(t *testing.T) {
+	r := &recorder{
+		release: make(chan struct{}),
+	}
+	var ended error
+	withListener(t, r, func(_ *Listener, address string) {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = c.Write([]byte("GET / HTTP/1.1\r\n" + commonFields + "\r\n"))
+		waitUntil(t, func() bool { return r.count() == 1 })
+		_ = c.(*net.TCPConn).CloseWrite()
+		waitUntil(t, func() bool { r.mu.Lock(); defer r.mu.Unlock(); return r.disconnects == 1 })
+		_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+		ended = (&fasthttp.Response{}).Read(bufio.NewReader(c))
+	})
+	Convey("The request ends at once, and its connection with it", t, func() {
+		So(r.disconnects, ShouldEqual, 1)
+		timeout, ok := ended.(net.Error)
+		So(ok && timeout.Timeout(), ShouldBeFalse)
+	})
+}
+
 func waitUntil(t *testing.T, condition func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
--- a/stand/site/caller.go
+++ b/stand/site/caller.go
@@ -116,6 +116,7 @@
 		return Answer{}, err
 	}
 	var response fasthttp.Response
+	response.SkipBody = request.method() == "HEAD"
 	if err := response.Read(c.reader); err != nil {
 		return Answer{}, err
 	}
@@ -184,6 +185,9 @@
 		return errors.Errorf("answer to %s has %d signatures, not one", request.ID, len(answer.Signatures))
 	}
 	reply, ok := s.ExecutionLog.reply(answer.Signatures[0])
+	if request.method() == "HEAD" {
+		reply.Body = nil
+	}
 	if !ok || reply.RequestID != request.ID || !bytes.Equal(reply.Body, answer.Body) || reply.Status != answer.Status {
 		return errors.Errorf("answer to %s is not the reply that the server signed", request.ID)
 	}
--- a/stand/site/server.go
+++ b/stand/site/server.go
@@ -262,9 +262,30 @@
 		s.Set(func(s *Server) { s.cancelled++ })
 		return false
 	}
+	if request.Header.IsHead() {
+		return s.replyToHead(c, id)
+	}
 	return s.reply(c, id, fault)
 }
 
+// replyToHead writes the head of the signed reply to a HEAD request, which states the length of a body that it doesn't have.
+func (s *Server) replyToHead(c net.Conn, id string) bool {
+	body := s.records(id)
+	text := replyText(id, 200, s.leavingField(c)+s.signature(id, 200, body), body)
+	_, err := c.Write([]byte(text[:len(text)-len(body)]))
+	return err == nil
+}
+
+// signature returns the header line that signs a reply.
+func (s *Server) signature(id string, status int, body []byte) string {
+	return "X-Server-Stamp: " + s.log.sign(s.id, Reply{
+		RequestID: id,
+		Service:   s.service,
+		Status:    status,
+		Body:      body,
+	}) + "\r\n"
+}
+
 // admit records an arrival, counts the violations that it means and returns the fault and the time of its reply.
 func (s *Server) admit() (ReplyFault, time.Duration) {
 	s.mu.Lock()
@@ -299,12 +320,7 @@
 func (s *Server) reply(c net.Conn, id string, fault ReplyFault) bool {
 	body := s.records(id)
 	status := fault.status()
-	signature := "X-Server-Stamp: " + s.log.sign(s.id, Reply{
-		RequestID: id,
-		Service:   s.service,
-		Status:    status,
-		Body:      body,
-	}) + "\r\n"
+	signature := s.signature(id, status, body)
 	switch fault {
 	case NoReply:
 		return false
