--- a/stand/site/notices.go
+++ b/stand/site/notices.go
@@ -55,6 +55,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	if sender == "" {
+		return s.turnsAwayUnknown()
+	}
 	if told := s.leavingTold[sender]; !told.IsZero() && now.Sub(told) > leavingGrace {
 		s.log.violation("leaving")
 	}
@@ -64,17 +67,25 @@
 		}
 		s.quiets[sender] = q
 	}
+	if header, ok := s.turnsAwayUnknown(); !ok || header == "" {
+		return header, ok
+	}
+	if seconds, err := strconv.ParseFloat(s.retryAfter, 64); err == nil && seconds > 0 {
+		s.quiets[sender] = s.quiets[sender].extended(now, time.Duration(seconds*float64(time.Second)))
+	}
+	return "Retry-After: " + s.retryAfter + "\r\n", true
+}
+
+// turnsAwayUnknown is turnsAway for a sender that is not known, as over TCP, where no violations are counted. The caller holds mu.
+func (s *Server) turnsAwayUnknown() (header string, ok bool) {
 	full := s.slots > 0 && s.running >= s.slots
-	if !full && (s.slots > 0 || s.retryAfter == "") {
+	switch {
+	case !full && (s.slots > 0 || s.retryAfter == ""):
 		s.running++
 		return "", false
-	}
-	if s.retryAfter == "" {
+	case s.retryAfter == "":
 		return "", true
 	}
-	if seconds, err := strconv.ParseFloat(s.retryAfter, 64); err == nil && seconds > 0 {
-		s.quiets[sender] = s.quiets[sender].extended(now, time.Duration(seconds*float64(time.Second)))
-	}
 	return "Retry-After: " + s.retryAfter + "\r\n", true
 }
 
--- a/stand/soak/caller.go
+++ b/stand/soak/caller.go
@@ -67,7 +67,7 @@
 }
 
 // newRequest draws a request: two in five go to the shard set, one in five to each of the other routes. Half of those that may not
-// be repeated have a form as their body.
+// be repeated have a form as their body, and a quarter of those to a single server are HEAD requests.
 func (s *soak) newRequest(random *rand.Rand) site.Request {
 	a := site.Request{
 		ID:      fmt.Sprintf("%016x", random.Uint64()),
@@ -78,6 +78,9 @@
 	switch random.IntN(5) {
 	case 0:
 		a.Host = oneHost
+		if random.IntN(4) == 0 {
+			a.Method = "HEAD"
+		}
 	case 1:
 		a.Host = movingHost
 	case 2:
--- a/stand/soak/fault.go
+++ b/stand/soak/fault.go
@@ -23,7 +23,7 @@
 
 // faults returns the faults from which a run draws.
 func faults() []fault {
-	return []fault{
+	return append(entryFaults(), []fault{
 		{name: "term", planned: true, run: func(_ context.Context, s *soak, r *rand.Rand) error { return s.randomHost(r).restart(syscall.SIGTERM) }},
 		{name: "kill", run: func(_ context.Context, s *soak, r *rand.Rand) error { return s.randomHost(r).restart(syscall.SIGKILL) }},
 		{name: "hang_up", planned: true, run: func(_ context.Context, s *soak, r *rand.Rand) error {
@@ -53,13 +53,15 @@
 			return nil
 		}},
 		{name: "tricks", planned: true, run: misbehave},
+		{name: "servers_say_they_leave", planned: true, run: sayServersLeave},
+		{name: "servers_ask_for_quiet", planned: true, run: askForQuiet},
 		{name: "drain", planned: true, run: drainServer},
 		{name: "evacuate", planned: true, run: evacuateDataCentre},
 		{name: "configuration", planned: true, run: changeTimeout},
 		{name: "route_moves", planned: true, run: moveRoute},
 		{name: "repartition", planned: true, run: changeShardSet},
 		{name: "repartition_and_term", planned: true, run: changeShardSetAndRestart},
-	}
+	}...)
 }
 
 // restartWithoutPeers starts a host anew with a peer at which nobody listens.
@@ -149,6 +151,30 @@
 	return nil
 }
 
+// sayServersLeave makes a server say in its replies that it leaves, and starts it anew after 4 s.
+func sayServersLeave(ctx context.Context, s *soak, r *rand.Rand) error {
+	id := s.randomServer(r)
+	s.site.Server(id).Set(site.WithLeaving(true))
+	_ = timer.Sleep(ctx, 4*time.Second)
+	s.site.Server(id).Set(site.WithLeaving(false))
+	s.site.Reboot(id)
+	return nil
+}
+
+// askForQuiet makes about a third of the servers turn requests away with Retry-After for 2 s.
+func askForQuiet(ctx context.Context, s *soak, r *rand.Rand) error {
+	for _, id := range s.serverIDs {
+		if r.IntN(3) == 0 {
+			s.site.Server(id).Set(site.WithRetryAfter("0.5"))
+		}
+	}
+	_ = timer.Sleep(ctx, 2*time.Second)
+	for _, id := range s.serverIDs {
+		s.site.Server(id).Set(site.WithRetryAfter(""))
+	}
+	return nil
+}
+
 // drainServer drains a server for 6 s, with or without an announcement.
 func drainServer(ctx context.Context, s *soak, r *rand.Rand) error {
 	id := s.serverIDs[r.IntN(len(s.serverIDs))]
