Show the logs of processes whose test fails

Change: Tests that start processes show the end of their logs when they fail, and the body of the answer. Conclusion: The next such failure can be traced.

--- a/cmd/magnoliaworks/process_test.go
+++ b/cmd/magnoliaworks/process_test.go
@@ -27,15 +27,28 @@
 	os.Exit(m.Run())
 }
 
-// program returns a command that runs the command line as a separate process.
+// program returns a command that runs the command line as a separate process. If the test fails, the end of its log is shown.
 func program(t *testing.T, args ...string) *exec.Cmd {
 	t.Helper()
 	c := exec.Command(os.Args[0], args...)
 	c.Env = append(os.Environ(), programVariable+"=1")
-	c.Stderr = io.Discard
+	log, err := os.CreateTemp(t.TempDir(), "log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Stderr = log
+	t.Cleanup(func() {
+		_ = log.Close()
+		if data, err := os.ReadFile(log.Name()); err == nil && t.Failed() {
+			t.Logf("end of the log of %v:\n%s", args, data[max(0, len(data)-shownLogBytes):])
+		}
+	})
 	return c
 }
 
+// shownLogBytes is the number of bytes of a process's log that are shown if its test fails.
+const shownLogBytes = 8 << 10
+
 // fleet is a set of processes: the stand-ins and some hosts.
 type fleet struct {
 	t        *testing.T
--- a/cmd/magnoliaworks/reload_test.go
+++ b/cmd/magnoliaworks/reload_test.go
@@ -56,7 +56,8 @@
 	f := newFleet(t, 1)
 	Convey("The host is ready after SIGHUP and ends with code 0 at SIGTERM", t, func() {
 		So(f.hosts[0].Process.Signal(syscall.SIGHUP), ShouldBeNil)
-		status, _ := f.request(0, searchBody)
+		status, text := f.request(0, searchBody)
+		So(text, ShouldContainSubstring, `"coverage"`)
 		So(status, ShouldEqual, 200)
 		f.waitReady(0)
 		So(f.hosts[0].Process.Signal(syscall.SIGTERM), ShouldBeNil)
