--- a/host.go
+++ b/host.go
@@ -259,29 +259,6 @@
 // dialTimeout is the timeout of dialStoreOrHostList.
 const dialTimeout = time.Second
 
-// rebuildRoutes builds the routing table from the current configuration and view. It also updates the shares of the
-// budgets and drops the state of servers and peers that are no longer known.
-func (h *Host) rebuildRoutes() {
-	state := h.config.State()
-	table := route.NewTable(state, h.table.View(), h.table.Self())
-	h.routes.Store(table)
-	b := state.Fleet().Budgets
-	h.budgets.hedge.SetShare(b.Hedge)
-	h.budgets.retry.SetShare(b.Retry)
-	h.budgets.cross.SetShare(b.Cross)
-	inTable := func(id string) bool {
-		_, ok := table.Find(id)
-		return ok
-	}
-	h.picker.Retain(inTable)
-	h.snapshots.Retain(inTable)
-	addresses := make(map[string]bool)
-	for _, m := range table.View.Members() {
-		addresses[m.Address] = true
-	}
-	h.peers.Retain(func(address string) bool { return addresses[address] })
-}
-
 func selfMember(s setup.Settings) member.Member {
 	return member.Member{
 		ID:              s.ID,
--- a/serve.go
+++ b/serve.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"magnoliaworks/core/member"
+	"magnoliaworks/core/route"
 	"magnoliaworks/core/timer"
 )
 
@@ -210,3 +211,26 @@
 		}
 	}
 }
+
+// rebuildRoutes builds the routing table from the current configuration and view. It also updates the shares of the
+// budgets and drops the state of servers and peers that are no longer known.
+func (h *Host) rebuildRoutes() {
+	state := h.config.State()
+	table := route.NewTable(state, h.table.View(), h.table.Self())
+	h.routes.Store(table)
+	b := state.Fleet().Budgets
+	h.budgets.hedge.SetShare(b.Hedge)
+	h.budgets.retry.SetShare(b.Retry)
+	h.budgets.cross.SetShare(b.Cross)
+	inTable := func(id string) bool {
+		_, ok := table.Find(id)
+		return ok
+	}
+	h.picker.Retain(inTable)
+	h.snapshots.Retain(inTable)
+	addresses := make(map[string]bool)
+	for _, m := range table.View.Members() {
+		addresses[m.Address] = true
+	}
+	h.peers.Retain(func(address string) bool { return addresses[address] })
+}
