--- a/review/.second/stand/main.go
+++ b/review/.second/stand/main.go
@@ -4,9 +4,14 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
+// maxTime is the time after which a case ends its processes, whatever it has seen.
+const maxTime = 110 * time.Second
+
 // Exit codes of a case.
 const (
 	ruleHeld   = 0
@@ -18,6 +23,7 @@
 var cases = map[string]func(r *rig, trouble bool) (broken bool, err error){
 	"broken_off": brokenOff,
 	"copies":     copies,
+	"removed":    removed,
 }
 
 func main() {
@@ -35,10 +41,17 @@
 		return notRun
 	}
 	defer r.close()
-	time.AfterFunc(110*time.Second, func() {
-		fmt.Fprintln(os.Stderr, "the case took too long")
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	r.tasks.Go(func() error {
+		select {
+		case <-signals:
+		case <-time.After(maxTime):
+		}
+		fmt.Fprintln(os.Stderr, "the case was ended before its time")
 		r.close()
 		os.Exit(notRun)
+		return nil
 	})
 	broken, err := cases[name](r, trouble)
 	switch {
--- a/review/.second/stand/replica.go
+++ b/review/.second/stand/replica.go
@@ -23,8 +23,11 @@
 	sequence int
 	handle   func(p *replica, c *replicaConn, q request) (keep bool)
 
-	mu   sync.Mutex
-	runs map[string]int
+	listener net.Listener
+
+	mu    sync.Mutex
+	runs  map[string]int
+	conns map[net.Conn]bool
 }
 
 // replicaConn is a connection to a replica.
@@ -64,6 +67,9 @@
 		slots:   slots,
 		handle:  handle,
 		runs:    make(map[string]int),
+		conns:   make(map[net.Conn]bool),
+
+		listener: l,
 	}
 	r.tasks.Go(func() error {
 		for number := 1; ; number++ {
@@ -76,6 +82,9 @@
 				reader: bufio.NewReaderSize(c, 64<<10),
 				number: number,
 			}
+			p.mu.Lock()
+			p.conns[c] = true
+			p.mu.Unlock()
 			r.tasks.Go(func() error {
 				p.serve(conn)
 				return nil
@@ -113,6 +122,17 @@
 	}
 }
 
+// exit ends the replica with all that it works on.
+func (p *replica) exit() {
+	p.rig.record.write("replica %s exits", p.id)
+	_ = p.listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		_ = c.Close()
+	}
+}
+
 // run records that the replica begins to work on a request.
 func (p *replica) run(c *replicaConn, q request) {
 	p.mu.Lock()
--- a/review/.second/stand/rig.go
+++ b/review/.second/stand/rig.go
@@ -34,8 +34,10 @@
 	config site.Config
 	hosts  []*host
 	seeds  []string
-	tasks  errgroup.Group
-	born   int64
+	// storeAddress returns the address at which a host finds the store.
+	storeAddress func() (string, error)
+	tasks        errgroup.Group
+	born         int64
 }
 
 // newRig starts a store.
@@ -53,6 +55,8 @@
 		return nil, err
 	}
 	return &rig{
+		storeAddress: func() (string, error) { return s.StoreAddress(), nil },
+
 		site: s,
 		record: &record{
 			out:     out,
@@ -133,6 +137,10 @@
 			return nil, err
 		}
 	}
+	store, err := r.storeAddress()
+	if err != nil {
+		return nil, err
+	}
 	if len(r.seeds) > len(r.hosts) {
 		a[2] = r.seeds[len(r.hosts)]
 	}
@@ -140,7 +148,7 @@
 		"id": id, "data_centre": zone, "caller_address": a[0], "operator_address": a[1], "peer_address": a[2],
 		"peers": r.seeds, "log_format": "json", "leave_wait": "2200ms",
 		"platform": map[string]any{
-			"caller_address": a[3], "ready_address": a[4], "object_address": r.site.StoreAddress(), "grace": grace.String(),
+			"caller_address": a[3], "ready_address": a[4], "object_address": store, "grace": grace.String(),
 			"retry_share": 0.2, "retry_slack": 56, "retry_window": "10s", "warmup_factor": 1.5, "warmup_slack": 5,
 			"processor_share": 0.4, "link_mbps": 1000.0, "max_descriptors": 4100, "memory_mb": memoryMB, "processors": 1,
 		},
