Send a message only once on a connection

A server with free slots that refuses a request by chance is asked again once all others have refused it, and the pool prefers the connection used last, which has carried the request. A late copy of the first refusal has the request's ID, so that it passes for the reply to the second sending, which runs. Change: a call names the earlier calls of its message to the server; the pool gives it none of their connections. It dials another one, in the place of an idle one at the limit of connections, and ends the call as not run if none can be dialled. Retries, hedges and shards go the same way.

--- a/core/pool/call.go
+++ b/core/pool/call.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"magnoliaworks/core/query"
@@ -15,6 +16,9 @@
 	Kind string
 	// Deadline is the time after which the caller has no use for a reply.
 	Deadline time.Time
+	// Earlier are the ended calls that sent the same message to this server. This call goes on none of their connections:
+	// a late copy of the reply to one of them has the message's ID, and would pass for the reply to this call.
+	Earlier []*Call
 	// OnResult is called exactly once, unless the call was withdrawn. It runs on the goroutine that ends the call,
 	// which may be that of Submit.
 	OnResult func(query.Result)
@@ -33,3 +37,8 @@
 	// the call was withdrawn.
 	ended bool
 }
+
+// mayUse reports whether no earlier call of the message was assigned to the connection.
+func (c *Call) mayUse(pc *pooledConn) bool {
+	return !slices.ContainsFunc(c.Earlier, func(earlier *Call) bool { return earlier.assigned == pc })
+}
--- a/core/pool/dial.go
+++ b/core/pool/dial.go
@@ -86,6 +86,7 @@
 	firstFailure := !sp.down
 	sp.down = true
 	var flushed []*Call
+	refused := sp.refuseRepeats()
 	if len(sp.conns) == 0 {
 		flushed = sp.flush()
 	}
@@ -93,11 +94,10 @@
 	if firstFailure {
 		sp.parent.journal.Record("lane", sp.server.ID, "down", err.Error())
 	}
-	for _, c := range flushed {
-		sp.deliver(c, query.NotExecuted{
-			Reason: "server down",
-		})
-	}
+	sp.deliverAll(flushed, query.NotExecuted{
+		Reason: "server down",
+	})
+	sp.deliverAll(refused, noOtherConn())
 }
 
 // backOff delays the next dial by a jittered backoff that doubles with each failure in a row. The caller holds mu.
--- a/core/pool/notice.go
+++ b/core/pool/notice.go
@@ -145,11 +145,9 @@
 	sp.mu.Lock()
 	flushed := sp.flush()
 	sp.mu.Unlock()
-	for _, call := range flushed {
-		sp.deliver(call, query.NotExecuted{
-			Reason: reason,
-		})
-	}
+	sp.deliverAll(flushed, query.NotExecuted{
+		Reason: reason,
+	})
 }
 
 // retireConns closes the idle connections and keeps further calls off those in use.
--- a/core/pool/reply.go
+++ b/core/pool/reply.go
@@ -96,10 +96,14 @@
 // dial, unless closeStale closed it; one that ended unused later was idle for too long. If more calls are queued than connections are being dialled, it dials another one.
 func (sp *serverPool) remove(pc *pooledConn) {
 	_ = pc.conn.Close()
+	sp.deliverAll(sp.drop(pc, time.Now()), noOtherConn())
+}
+
+// drop is remove without the close. It returns the calls that need a connection that can't be dialled now.
+func (sp *serverPool) drop(pc *pooledConn, now time.Time) (refused []*Call) {
 	sp.mu.Lock()
 	defer sp.mu.Unlock()
 	delete(sp.conns, pc)
-	now := time.Now()
 	switch {
 	case pc.replied || pc.surplus:
 	case !pc.used && now.Sub(pc.lastUsed) >= overCapTime:
@@ -107,6 +111,7 @@
 	default:
 		sp.parent.countEvent("reset_unused")
 		sp.backOff(now)
+		refused = sp.refuseRepeats()
 	}
 	for i, other := range sp.idle {
 		if other == pc {
@@ -117,6 +122,7 @@
 	if len(sp.queue) > sp.dialing {
 		sp.dial(now)
 	}
+	return refused
 }
 
 // deliver passes the result of a call that has ended to the observer and to the call, with the time since sending, or since
@@ -130,6 +136,13 @@
 	call.OnResult(result)
 }
 
+// deliverAll passes the same result to calls that have ended.
+func (sp *serverPool) deliverAll(calls []*Call, result query.Result) {
+	for _, call := range calls {
+		sp.deliver(call, result)
+	}
+}
+
 // close closes the idle connections. Calls in progress continue, queued ones end as not executed.
 func (sp *serverPool) close() {
 	sp.mu.Lock()
@@ -140,9 +153,7 @@
 	for _, pc := range idle {
 		_ = pc.conn.Close()
 	}
-	for _, c := range flushed {
-		sp.deliver(c, query.NotExecuted{
-			Reason: "connections to the server are closed",
-		})
-	}
+	sp.deliverAll(flushed, query.NotExecuted{
+		Reason: "connections to the server are closed",
+	})
 }
--- a/core/pool/serverpool.go
+++ b/core/pool/serverpool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -70,7 +71,7 @@
 		})
 		return
 	}
-	pc := sp.takeIdle(now)
+	pc := sp.takeIdle(call, now)
 	if pc != nil {
 		sp.assign(pc, call, now)
 		sp.mu.Unlock()
@@ -97,6 +98,8 @@
 		return query.NotExecuted{
 			Reason: "server down",
 		}, false
+	case len(call.Earlier) > 0 && now.Before(sp.nextDial):
+		return noOtherConn(), false
 	case len(sp.queue) >= maxQueuedCalls:
 		return query.NotExecuted{
 			Cause:  query.Busy,
@@ -104,8 +107,11 @@
 		}, false
 	}
 	sp.queue = append(sp.queue, call)
-	if sp.dialing < len(sp.queue) {
-		sp.dial(now)
+	if sp.dialing < len(sp.queue) && !sp.dial(now) && len(sp.idle) > 0 {
+		// The call may use none of the idle connections. The end of one makes room for another.
+		pc := sp.idle[0]
+		sp.idle = sp.idle[1:]
+		sp.retire(pc)
 	}
 	return query.NotExecuted{}, true
 }
@@ -155,13 +161,16 @@
 	return false
 }
 
-// takeIdle removes and returns the idle connection that was used most recently, or returns nil.
+// takeIdle removes and returns the idle connection that was used most recently of those that the call may use, or returns nil.
 // Stale connections are closed first. The caller holds mu.
-func (sp *serverPool) takeIdle(now time.Time) *pooledConn {
+func (sp *serverPool) takeIdle(call *Call, now time.Time) *pooledConn {
 	sp.closeStale(now, len(sp.conns))
-	for len(sp.idle) > 0 {
-		pc := sp.idle[len(sp.idle)-1]
-		sp.idle = sp.idle[:len(sp.idle)-1]
+	for i := len(sp.idle) - 1; i >= 0; i-- {
+		pc := sp.idle[i]
+		if !pc.closing && !call.mayUse(pc) {
+			continue
+		}
+		sp.idle = slices.Delete(sp.idle, i, i+1)
 		// The reader of a closing connection has ended; remove is about to drop it.
 		if !pc.closing {
 			return pc
@@ -193,23 +202,61 @@
 	call.assigned, call.sentAt = pc, now
 }
 
-// release sends the call that has waited longest on the connection, or makes the connection idle.
+// release sends the call that has waited longest of those that may use the connection, or makes the connection idle.
 // The caller holds mu, which release unlocks.
 func (sp *serverPool) release(pc *pooledConn) {
-	if len(sp.queue) == 0 || pc.closing {
-		if !pc.closing {
-			sp.idle = append(sp.idle, pc)
-		}
+	i := slices.IndexFunc(sp.queue, func(call *Call) bool { return call.mayUse(pc) })
+	if i < 0 || pc.closing {
+		sp.park(pc)
 		sp.mu.Unlock()
 		return
 	}
-	call := sp.queue[0]
-	sp.queue = sp.queue[1:]
+	call := sp.queue[i]
+	sp.queue = slices.Delete(sp.queue, i, i+1)
 	sp.assign(pc, call, time.Now())
 	sp.mu.Unlock()
 	sp.write(pc, call)
 }
 
+// park makes a connection idle, or closes it in favour of another one that the queued calls need. The caller holds mu.
+func (sp *serverPool) park(pc *pooledConn) {
+	switch {
+	case pc.closing:
+	case sp.dialing < len(sp.queue) && !sp.dial(time.Now()):
+		sp.retire(pc)
+	default:
+		sp.idle = append(sp.idle, pc)
+	}
+}
+
+// retire closes a connection that is neither idle nor in use. Its end says nothing about the server. The caller holds mu.
+func (sp *serverPool) retire(pc *pooledConn) {
+	pc.closing, pc.surplus = true, true
+	_ = pc.conn.Close()
+}
+
+// noOtherConn is the result of a call that may use none of the open connections while no other one can be dialled.
+func noOtherConn() query.NotExecuted {
+	return query.NotExecuted{
+		Reason: "the server accepts no connection that has not carried the message",
+	}
+}
+
+// refuseRepeats takes the calls that need another connection off the queue and returns them. The caller holds mu and delivers
+// their results.
+func (sp *serverPool) refuseRepeats() []*Call {
+	var refused []*Call
+	sp.queue = slices.DeleteFunc(sp.queue, func(call *Call) bool {
+		if len(call.Earlier) == 0 {
+			return false
+		}
+		call.ended = true
+		refused = append(refused, call)
+		return true
+	})
+	return refused
+}
+
 // write sends the call on its connection. A long body is written by a goroutine of its own: the server may reply before
 // it has read the whole body, and write may run on the goroutine that reads the reply.
 func (sp *serverPool) write(pc *pooledConn, call *Call) {
--- a/core/relay/execution.go
+++ b/core/relay/execution.go
@@ -263,18 +263,32 @@
 	})
 	e.relay.chargeExposure(server)
 	completions := e.completions
-	e.attempts[index].cancel = e.relay.options.Pool.Submit(server, &pool.Call{
+	call := &pool.Call{
 		Message:  e.message,
 		Server:   server.ID,
 		Kind:     e.route.Name,
 		Deadline: e.deadline,
+		Earlier:  e.callsTo(server.ID),
 		OnResult: e.relay.observingVersion(server, e.route.Name, reason, now, func(result query.Result) {
 			completions <- completion{
 				attempt: index,
 				result:  result,
 			}
 		}),
-	})
+	}
+	e.attempts[index].call = call
+	e.attempts[index].cancel = e.relay.options.Pool.Submit(server, call)
+}
+
+// callsTo returns the calls that have sent the message to a server.
+func (e *execution) callsTo(server string) []*pool.Call {
+	var calls []*pool.Call
+	for i := range e.attempts {
+		if a := &e.attempts[i]; a.server == server && a.call != nil {
+			calls = append(calls, a.call)
+		}
+	}
+	return calls
 }
 
 // candidates returns the replicas of a shard as input for the picker.
--- a/core/relay/shard.go
+++ b/core/relay/shard.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"magnoliaworks/core/pool"
 	"magnoliaworks/core/query"
 	"magnoliaworks/core/trace"
 )
@@ -42,6 +43,7 @@
 	reason string
 	sentAt time.Time
 	ended  bool
+	call   *pool.Call
 	// cancel withdraws the call if it is still queued; otherwise its reply is awaited for at most the grace.
 	// It reports whether the call was withdrawn and therefore not executed.
 	cancel func(grace time.Duration) (withdrawn bool)
--- a/stand/site/reply.go
+++ b/stand/site/reply.go
@@ -49,6 +49,8 @@
 	EndlessBody
 	// SheddingByChance refuses the request with X-Not-Executed and states that slots are free.
 	SheddingByChance
+	// CopiedRefusal is SheddingByChance, and sends a whole copy of the refusal once the next request has come on the connection.
+	CopiedRefusal
 	// Slow replies correctly after slowFactor times the usual time.
 	Slow
 	// Large replies correctly with a body of largeBodyBytes.
@@ -144,6 +146,15 @@
 		"Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + string(body)
 }
 
+// sendLateCopy writes the copy of an earlier refusal that is due on the connection, if any.
+func (s *Server) sendLateCopy(c net.Conn) {
+	s.mu.Lock()
+	text := s.lateCopies[c]
+	delete(s.lateCopies, c)
+	s.mu.Unlock()
+	_, _ = c.Write([]byte(text))
+}
+
 // records returns the body of a reply: five unordered records of 16 bytes and an incomplete one.
 func (s *Server) records(id string) []byte {
 	var body []byte
--- a/stand/site/rules_test.go
+++ b/stand/site/rules_test.go
@@ -62,6 +62,35 @@
 	}
 }
 
+// TestLateRefusalIsNotTakenForTheNextReply guards against a request that runs twice. Servers with free slots refuse requests by
+// chance, and send a copy of the refusal when the next request comes on the connection. Once all servers of the service have refused a
+// request, the host asks the first one again; if it did so on the same connection, the copy would pass for the second reply.
+func TestLateRefusalIsNotTakenForTheNextReply(t *testing.T) {
+	var result tally
+	twice, refusedAndRun := 0, 0
+	inRig(t, func(r *rig) {
+		for n := 2; n < 6; n++ {
+			r.site.Drain(fmt.Sprintf("desk-%d", n), true)
+		}
+		for n := range 2 {
+			r.site.Server(fmt.Sprintf("desk-%d", n)).Set(WithReplyFault(CopiedRefusal, 0.5))
+		}
+		time.Sleep(settleTime)
+		result = r.load(0, onceHost, 400, 15*time.Millisecond)
+		for _, request := range result.requests {
+			if r.site.ExecutionLog.Runs(request.ID) > 1 {
+				twice++
+			}
+		}
+		refusedAndRun = len(result.incorrect)
+	})
+	Convey("No request runs twice, and none that was refused has run", t, func() {
+		So(twice, ShouldEqual, 0)
+		So(refusedAndRun, ShouldEqual, 0)
+		So(result.statuses[200], ShouldBeGreaterThan, 200)
+	})
+}
+
 // TestIneligibleServersGetNoWork drains, removes and evacuates servers under load, and lets another server use the address of one.
 func TestIneligibleServersGetNoWork(t *testing.T) {
 	cases := []struct {
--- a/stand/site/server.go
+++ b/stand/site/server.go
@@ -79,6 +79,8 @@
 	mostEndlessBytes int
 	listener         net.Listener
 	conns            map[net.Conn]bool
+	// lateCopies holds the refusals that are sent again when the next request comes on their connection.
+	lateCopies map[net.Conn]string
 }
 
 // Start opens the server's listener and serves it in the background.
@@ -88,7 +90,7 @@
 		return err
 	}
 	s.mu.Lock()
-	s.listener, s.conns = l, make(map[net.Conn]bool)
+	s.listener, s.conns, s.lateCopies = l, make(map[net.Conn]bool), make(map[net.Conn]string)
 	s.mu.Unlock()
 	s.tasks.Go(func() error {
 		for {
@@ -197,6 +199,7 @@
 func (s *Server) answer(ctx context.Context, c net.Conn, request *fasthttp.Request) bool {
 	id, sender := string(request.Header.Peek("X-Request-Id")), stand.OwnerOf(c)
 	s.log.arrival(s.service, s.id, s.version, sender)
+	s.sendLateCopy(c)
 	if expected := string(request.Header.Peek("X-Expect-Instance")); expected != s.id {
 		return s.write(c, id, 421, "X-Instance-Id: "+s.id+"\r\n", nil)
 	}
@@ -211,8 +214,12 @@
 	switch fault {
 	case Shedding:
 		return s.write(c, id, 503, "X-Not-Executed: 1\r\n", nil)
-	case SheddingByChance:
-		return s.write(c, id, 503, "X-Not-Executed: 1\r\nX-Server-Load: 1,0,4,100\r\n", nil)
+	case SheddingByChance, CopiedRefusal:
+		fields := "X-Not-Executed: 1\r\nX-Server-Load: 1,0,4,100\r\n"
+		if fault == CopiedRefusal {
+			s.Set(func(s *Server) { s.lateCopies[c] = replyText(id, 503, fields, nil) })
+		}
+		return s.write(c, id, 503, fields, nil)
 	}
 	if wrong := s.keys.wrongRun(s.log, id, allValues(request, "X-Tenant"), allValues(request, "Authorization")); wrong != "" {
 		s.log.violation(wrong)
