Write late copies in the stand-in only where one is due

The stand-in wrote the late copy also where there was none; the in-process network passes an empty write on, and the reader then waits on a timer of no length, at which the runtime fails in virtual time with the race detector. Change: no empty write. Measured: TestServersThatSayTheyLeave with -race: 6 of 6 pass.

--- a/stand/site/reply.go
+++ b/stand/site/reply.go
@@ -149,10 +149,12 @@
 // sendLateCopy writes the copy of an earlier refusal that is due on the connection, if any.
 func (s *Server) sendLateCopy(c net.Conn) {
 	s.mu.Lock()
-	text := s.lateCopies[c]
+	text, due := s.lateCopies[c]
 	delete(s.lateCopies, c)
 	s.mu.Unlock()
-	_, _ = c.Write([]byte(text))
+	if due {
+		_, _ = c.Write([]byte(text))
+	}
 }
 
 // records returns the body of a reply: five unordered records of 16 bytes and an incomplete one.
