Hold removals until the store's first answer, not past a failed ping

Removals were held until 3.5 s after the last failed ping. A ping that is sent just before the end of a cut fails up to 0.9 s after it on a silent connection, so that the hold lasted 4.4 s. Change: removals are held while the store does not answer, and 2.5 s from its first answer to any call on, which comes at most a second after the end of a cut. The log says 'removal held'.

--- a/core/watch/apply.go
+++ b/core/watch/apply.go
@@ -28,6 +28,7 @@
 	w.journal.Record("follow", kind.String(), "listed", fmt.Sprintf("%d objects up to revision %d by %s that states revision %d",
 		len(list.Objects), newestRevision(list.Objects), by, list.Stated))
 	w.listed[kind] = true
+	w.recordReached()
 	w.mergeList(kind, list, by)
 }
 
@@ -58,6 +59,7 @@
 func (w *Watcher) applyChanges(kind Kind, changes Changes, by origin) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.recordReached()
 	w.cache.learn(kind, changes.Objects, changes.Revision)
 	w.applyNewer(kind, w.holdRemovals(kind, changes.Objects), by)
 }
@@ -71,11 +73,9 @@
 	var effective []Object
 	for _, o := range objects {
 		known, ok := w.registrations[o.Name]
-		if o.Deleted && ok && !known.Server.Draining && time.Now().Before(w.holdUntil) {
-			w.held[o.Name] = heldRemoval{
-				object: o,
-				due:    w.holdUntil,
-			}
+		if o.Deleted && ok && !known.Server.Draining && (w.unreached || time.Now().Before(w.holdUntil)) {
+			w.held[o.Name] = o
+			w.journal.Record("follow", o.Name, "removal held", "the server may register again after an outage of the store")
 			continue
 		}
 		effective = append(effective, o)
--- a/core/watch/late.go
+++ b/core/watch/late.go
@@ -11,12 +11,6 @@
 	maxRemovals = 8192
 )
 
-// heldRemoval is the removal of a server that may register again, and the time at which it takes effect otherwise.
-type heldRemoval struct {
-	object Object
-	due    time.Time
-}
-
 // lateRegistration is the registration of a server whose entry was removed, and the time at which it takes effect.
 type lateRegistration struct {
 	object Object
--- a/core/watch/ping.go
+++ b/core/watch/ping.go
@@ -22,7 +22,7 @@
 		case <-ticks:
 		}
 		if !w.watchesStore() {
-			w.sourceDown.Store(false)
+			w.handleNoPing()
 			continue
 		}
 		if w.sinceUpToDate(time.Now()) < pingPeriod {
@@ -39,17 +39,28 @@
 	}
 }
 
-// handlePing records whether the store answers. A failure extends the time for which removals are held; the first
-// answer after an outage cancels all watches.
+// handleNoPing forgets an outage that this host no longer looks into.
+func (w *Watcher) handleNoPing() {
+	w.sourceDown.Store(false)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.recordReached()
+}
+
+// handlePing records whether the store answers. Removals are held from a failure on; the first answer after an outage cancels all
+// watches.
 func (w *Watcher) handlePing(err error) {
 	wasDown := w.sourceDown.Swap(err != nil)
 	if err != nil {
-		w.extendHold()
+		w.recordUnreached()
 		if !wasDown {
 			w.journal.Record("follow", "store", "lost", err.Error())
 		}
 		return
 	}
+	w.mu.Lock()
+	w.recordReached()
+	w.mu.Unlock()
 	if wasDown {
 		w.journal.Record("follow", "store", "regained", "the store answers again")
 		for kind := range kindCount {
--- a/core/watch/watcher.go
+++ b/core/watch/watcher.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -71,10 +73,11 @@
 	cache objectCache
 	// changed is closed and replaced by notify.
 	changed chan struct{}
-	// holdUntil is the time until which removals of servers are held.
+	// unreached is set from a failed ping until the store answers. Removals of servers are held meanwhile and until holdUntil.
+	unreached bool
 	holdUntil time.Time
 	// held, late, registrations, evacuated and rollouts are keyed by the name of the object.
-	held          map[string]heldRemoval
+	held          map[string]Object
 	late          map[string]lateRegistration
 	removed       removedServers
 	registrations map[string]Registration
@@ -129,7 +132,7 @@
 		cache:         newObjectCache(),
 		stated:        make(chan uint64, 1),
 		changed:       make(chan struct{}),
-		held:          make(map[string]heldRemoval),
+		held:          make(map[string]Object),
 		late:          make(map[string]lateRegistration),
 		removed:       make(removedServers),
 		registrations: make(map[string]Registration),
@@ -255,14 +258,24 @@
 	w.journal.Record("follow", kind.String(), "listed anew", cause.Error())
 }
 
-// extendHold holds removals until servers have had time to register again, and wakes waiting feeds so that they fail.
-func (w *Watcher) extendHold() {
+// recordUnreached holds removals until the store answers and servers have had time to register again, and wakes waiting feeds so that
+// they fail.
+func (w *Watcher) recordUnreached() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.holdUntil = time.Now().Add(pingPeriod + reregisterTime)
+	w.unreached = true
 	w.notify()
 }
 
+// recordReached records that the store answers. The time for servers to register again begins with the first answer after a failed
+// ping: the last ping of an outage may fail long after its end. The caller holds mu.
+func (w *Watcher) recordReached() {
+	if w.unreached {
+		w.unreached = false
+		w.holdUntil = time.Now().Add(reregisterTime)
+	}
+}
+
 // releaseLoop applies held removals when they are due, drops expired tombstones and catches up with other hosts.
 func (w *Watcher) releaseLoop(ctx context.Context) error {
 	ticks := w.timer.Subscribe(ctx, holdCheckPeriod)
@@ -280,22 +293,20 @@
 	}
 }
 
-// releaseDue applies the held removals and registrations that are due, unless the store is down. It also drops expired tombstones.
+// releaseDue applies the held removals and registrations that are due, unless the store does not answer. It also drops expired
+// tombstones.
 func (w *Watcher) releaseDue(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.cache.expireTombstones(now)
-	if w.sourceDown.Load() {
+	if w.unreached {
 		return
 	}
-	var due []Object
-	for name, h := range w.held {
-		if now.After(h.due) {
-			due = append(due, h.object)
-			delete(w.held, name)
-		}
+	if now.After(w.holdUntil) && len(w.held) > 0 {
+		due := slices.Collect(maps.Values(w.held))
+		clear(w.held)
+		w.applyNewer(Servers, due, byRelease)
 	}
-	w.applyNewer(Servers, due, byRelease)
 	w.releaseLate(now)
 }
 
--- a/stand/site/objecthandler.go
+++ b/stand/site/objecthandler.go
@@ -39,7 +39,11 @@
 	case StoreBusy:
 		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	case StoreSilent:
-		for o.currentState() == StoreSilent || o.isMuted(stand.OwnerOf(c.Conn())) {
+		if o.isMuted(stand.OwnerOf(c.Conn())) {
+			stayDeaf(c)
+			return
+		}
+		for o.currentState() == StoreSilent {
 			time.Sleep(watchPollInterval)
 		}
 		c.HijackSetNoResponse(true)
@@ -54,6 +58,12 @@
 	}
 }
 
+// stayDeaf keeps the connection open and sends nothing on it any more.
+func stayDeaf(c *fasthttp.RequestCtx) {
+	c.HijackSetNoResponse(true)
+	c.Hijack(func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
+}
+
 // slowTime is the time by which a slow store answers later; the platform states 4 ms for an answer and 60 times that at worst.
 const slowTime = 240 * time.Millisecond
 
@@ -166,8 +176,7 @@
 			return
 		case o.stalls(stand.OwnerOf(c.Conn()), kind) && time.Now().Before(deadline):
 		case len(events) > 0 && (o.losesWatchAnswers() || o.isMuted(stand.OwnerOf(c.Conn()))):
-			c.HijackSetNoResponse(true)
-			c.Hijack(func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
+			stayDeaf(c)
 			return
 		case len(events) > 0 || !time.Now().Before(deadline):
 			reply(c, watchReply{
--- a/stand/site/storefaults.go
+++ b/stand/site/storefaults.go
@@ -19,7 +19,7 @@
 	return o.refused[id]
 }
 
-// Mute makes the calls of a host get no answer, or no longer. Their connections are lost then.
+// Mute makes the calls of a host get no answer, or no longer. Their connections return nothing further.
 func (o *ObjectStore) Mute(id string, mute bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
