Let no older registration cancel a held removal

The logs show a removal held at revision 235 and never applied. The watch's answer held the server's registration at revision 227 as well: holdRemovals put the removal aside, and applyServer, which came to the older registration after it, deleted it. Change: applyServer leaves held removals alone. At the end of the hold one takes effect unless the host knows a newer object of that name.

--- a/core/watch/apply.go
+++ b/core/watch/apply.go
@@ -180,7 +180,6 @@
 // applyServer applies a registration. One that can't be decoded removes the server; one that the server wrote before the
 // known registration is ignored.
 func (w *Watcher) applyServer(o Object, by origin) {
-	delete(w.held, o.Name)
 	delete(w.late, o.Name)
 	known, ok := w.registrations[o.Name]
 	if o.Deleted {
