Reject replies whose status is 000

Cause: a reply of a backend server with status 000 reached callers of the own interface as an answer; a list of the platform's store with status 000 was applied. fasthttp reports status 200 for a response whose status is 0. Measured: TestOnlyStatus200IsAReply, TestRepliesWithoutStatusAreFailures and two cases of TestUnsoundHeadsAreRejected fail before and pass after. go test ./platform ./io/... .: ok.

--- a/host.go
+++ b/host.go
@@ -31,6 +31,7 @@
 	"magnoliaworks/io/admin"
 	"magnoliaworks/io/caller"
 	"magnoliaworks/io/dialer"
+	"magnoliaworks/io/head"
 	"magnoliaworks/io/hosts"
 	"magnoliaworks/io/metric"
 	"magnoliaworks/io/peer"
@@ -275,7 +276,11 @@
 func (h *Host) dialStoreOrHostList(address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	return h.network.Dial(ctx, "tcp", address)
+	conn, err := h.network.Dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return head.NewConn(conn), nil
 }
 
 // dialTimeout is the timeout of dialStoreOrHostList.
--- a/io/dialer/conn.go
+++ b/io/dialer/conn.go
@@ -13,6 +13,7 @@
 	"magnoliaworks/core/query"
 	"magnoliaworks/core/server"
 	"magnoliaworks/io/dialer/wire"
+	"magnoliaworks/io/head"
 )
 
 const (
@@ -131,6 +132,9 @@
 	if err := c.transport.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
 		return errors.Wrapf(err, "read from backend server %s", c.address)
 	}
+	if err := head.CheckStatus(c.in); err != nil {
+		return errors.Wrapf(err, "read from backend server %s", c.address)
+	}
 	c.response.Reset()
 	if err := c.response.ReadLimitBody(c.in, maxBodyBytes); err != nil {
 		return errors.Wrapf(err, "read from backend server %s", c.address)
