--- a/stand/site/rules_test.go
+++ b/stand/site/rules_test.go
@@ -31,6 +31,7 @@
 		{name: "unmarked 503", fault: Unmarked503},
 		{name: "lost", fault: NoReply},
 		{name: "shedding", fault: Shedding},
+		{name: "status 000", fault: NoStatus},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/stand/soak/fault.go
+++ b/stand/soak/fault.go
@@ -139,7 +139,11 @@
 
 // misbehave makes about half of the servers misbehave in one way, in a fifth of their replies, for 2 s.
 func misbehave(ctx context.Context, s *soak, r *rand.Rand) error {
-	trick := site.ReplyFault(1 + r.IntN(int(site.Shedding)))
+	tricks := []site.ReplyFault{site.NoStatus, site.CopiedRefusal}
+	for trick := site.NoFault + 1; trick <= site.Shedding; trick++ {
+		tricks = append(tricks, trick)
+	}
+	trick := tricks[r.IntN(len(tricks))]
 	for _, id := range s.serverIDs {
 		if r.IntN(2) == 0 {
 			s.site.Server(id).Set(site.WithReplyFault(trick, 0.2))
