Order what comes from the store by its era first

Cause: after the store had returned from an older copy, hosts took its changes for known, since their revisions were lower or stood for something else, and followed the copy before the operator and the servers had written again. With the new tests the code before lists the store again and again without a pause (5 of the 6 cases that were tried don't end within 8 s, as virtual time stands still): the account of changes raises the revision of a kind after each list to one that the store doesn't have. A watch from an earlier era ends as one whose history is gone. Until the operator and the servers have written again, older configurations and registrations change nothing, and removals are held that mean only that the copy lacks an object. The stand-in of the store returns from copies.

--- a/core/watch/accounts.go
+++ b/core/watch/accounts.go
@@ -14,6 +14,12 @@
 	seen map[uint64]bool
 }
 
+func newAccounts() accounts {
+	return accounts{
+		seen: make(map[uint64]bool),
+	}
+}
+
 // see records that an object was received as it was changed at a revision.
 func (a *accounts) see(revision uint64) {
 	if revision <= a.accounted {
--- a/core/watch/apply.go
+++ b/core/watch/apply.go
@@ -25,8 +25,8 @@
 func (w *Watcher) applyList(kind Kind, list Changes, by origin) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.journal.Record("follow", kind.String(), "listed", fmt.Sprintf("%d objects up to revision %d by %s that states revision %d",
-		len(list.Objects), newestRevision(list.Objects), by, list.Stated))
+	w.journal.Record("follow", kind.String(), "listed", fmt.Sprintf("%d objects up to %s by %s that states %s",
+		len(list.Objects), ordinalText(newestRevision(list.Objects)), by, ordinalText(list.Stated)))
 	w.listed[kind] = true
 	w.recordReached()
 	w.mergeList(kind, list, by)
@@ -45,6 +45,7 @@
 // changed since the revision up to which the list is complete; objects that it has but that are unknown at a later revision were
 // removed. The caller holds mu.
 func (w *Watcher) mergeList(kind Kind, list Changes, by origin) {
+	w.recordEra(max(list.Revision, list.Stated, newestRevision(list.Objects)))
 	known := w.cache.revisions[kind]
 	var objects []Object
 	if list.Revision > known {
@@ -60,29 +61,36 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.recordReached()
+	w.recordEra(changes.Revision)
 	w.cache.learn(kind, changes.Objects, changes.Revision)
 	w.applyNewer(kind, w.holdRemovals(kind, changes.Objects), by)
 }
 
-// holdRemovals puts removals of servers into held while those servers may still register again after an outage, and
-// returns the other objects. Draining servers are removed at once. The caller holds mu.
+// holdRemovals puts removals into held that may be undone soon, and returns the other objects. Servers may register again after an
+// outage; draining ones are removed at once. The operator may write again what a copy of the store lacks. The caller holds mu.
 func (w *Watcher) holdRemovals(kind Kind, objects []Object) []Object {
-	if kind != Servers {
-		return objects
-	}
 	var effective []Object
 	for _, o := range objects {
-		known, ok := w.registrations[o.Name]
-		if o.Deleted && ok && !known.Server.Draining && (w.unreached || time.Now().Before(w.holdUntil)) {
-			w.held[o.Name] = o
-			w.journal.Record("follow", o.Name, "removal held", "the server may register again after an outage of the store")
+		if !o.Deleted || !w.mayReturn(kind, o) {
+			effective = append(effective, o)
 			continue
 		}
-		effective = append(effective, o)
+		w.held[kind][o.Name] = o
+		w.journal.Record("follow", o.Name, "removal held", "it may be written again after an outage or a return of the store")
 	}
 	return effective
 }
 
+// mayReturn reports whether a removed object may be written again soon. The caller holds mu.
+func (w *Watcher) mayReturn(kind Kind, removal Object) bool {
+	now := time.Now()
+	if kind == Servers {
+		known, ok := w.registrations[removal.Name]
+		return ok && !known.Server.Draining && (w.unreached || now.Before(w.holdUntil))
+	}
+	return now.Before(w.rewriteUntil) && w.isLostByReturn(kind, removal)
+}
+
 // applyNewer applies those objects that are newer than their known revision, publishes the result to the state and wakes
 // waiting feeds. The caller holds mu.
 func (w *Watcher) applyNewer(kind Kind, objects []Object, by origin) {
@@ -92,6 +100,10 @@
 			continue
 		}
 		applied = true
+		if w.isOlderCopy(kind, o, by) {
+			w.carryOver(kind, o)
+			continue
+		}
 		w.cache.put(kind, o)
 		w.applyObject(kind, o, by)
 	}
@@ -253,5 +265,5 @@
 }
 
 func revisionText(o Object, by origin) string {
-	return fmt.Sprintf("revision %d, brought by %s", o.Revision, by)
+	return fmt.Sprintf("%s, brought by %s", ordinalText(o.Revision), by)
 }
--- a/core/watch/compare.go
+++ b/core/watch/compare.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -43,6 +44,15 @@
 	return false
 }
 
+// String returns the ordinal of each kind for the journal.
+func (r Revisions) String() string {
+	texts := make([]string, len(r))
+	for kind, ordinal := range r {
+		texts[kind] = Kind(kind).String() + " at " + ordinalText(ordinal)
+	}
+	return strings.Join(texts, ", ")
+}
+
 // Comparison is a host's answer to another one that has stated what it knows.
 type Comparison struct {
 	// Compared is set when the host has compared its own objects with those of other hosts since its start.
@@ -279,7 +289,7 @@
 	}
 	if c.Update.Full {
 		w.journal.Record("follow", "store", "newer state taken over",
-			fmt.Sprintf("host %s knows revisions %v, this host %v", host.ID, c.Update.Revisions, known))
+			fmt.Sprintf("host %s knows %s, this host %s", host.ID, c.Update.Revisions, known))
 		w.applyUpdate(c.Update)
 	}
 	return true
--- a/core/watch/feed.go
+++ b/core/watch/feed.go
@@ -268,6 +268,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for kind := range w.kinds {
+		w.recordEra(update.Revisions[kind])
 		var removed []Object
 		if update.Full {
 			removed = w.cache.removals(kind, update.Objects[kind], update.Revisions[kind])
--- a/core/watch/object.go
+++ b/core/watch/object.go
@@ -44,7 +44,8 @@
 
 // Object is one version of an object in the store.
 type Object struct {
-	Name     string
+	Name string
+	// Revision is the ordinal of this version, see Ordinal.
 	Revision uint64
 	// Value is the content in the platform's encoding, see Decoder.
 	Value []byte
@@ -55,9 +56,9 @@
 // Changes are objects of one kind.
 type Changes struct {
 	Objects []Object
-	// Revision is the store's revision up to which the objects are complete; 0 if that is not known.
+	// Revision is the ordinal up to which the objects are complete; 0 if that is not known.
 	Revision uint64
-	// Stated is the store's revision that the answer states. The objects of a stale answer may be older.
+	// Stated is the ordinal that the answer states. The objects of a stale answer may be older.
 	Stated uint64
 }
 
@@ -66,8 +67,8 @@
 	// List returns all objects of a kind. A stale list is cheap but may be seconds old, by an age that its stated revision does
 	// not tell.
 	List(ctx context.Context, kind Kind, stale bool) (Changes, error)
-	// Watch waits for changes after a revision and returns them, or none if none came for some time.
-	// The error is ErrHistoryGone when the changes are no longer kept.
+	// Watch waits for changes after an ordinal and returns them, or none if none came for some time.
+	// The error is ErrHistoryGone when the changes are no longer kept, or the store has another era.
 	Watch(ctx context.Context, kind Kind, after uint64) (Changes, error)
 	// ChangesAfter returns the changes up to now after a revision, without waiting. The error is as for Watch.
 	ChangesAfter(ctx context.Context, kind Kind, after uint64) (Changes, error)
--- a/core/watch/objectcache.go
+++ b/core/watch/objectcache.go
@@ -31,11 +31,11 @@
 func newObjectCache() objectCache {
 	c := objectCache{
 		followed: kindCount,
+		accounts: newAccounts(),
 	}
 	for k := range c.entries {
 		c.entries[k] = make(map[string]entry)
 	}
-	c.accounts.seen = make(map[uint64]bool)
 	return c
 }
 
--- a/core/watch/rollout.go
+++ b/core/watch/rollout.go
@@ -39,7 +39,7 @@
 		return
 	}
 	r.Name, r.Revision, r.SeenAt = o.Name, o.Revision, time.Now()
-	if ok && known.Service == r.Service && known.Version == r.Version && known.Created == r.Created {
+	if ok && known.Service == r.Service && known.Version == r.Version && RevisionOf(known.Created) == RevisionOf(r.Created) {
 		r.SeenAt = known.SeenAt
 	}
 	w.rollouts[o.Name] = r
--- a/core/watch/verify.go
+++ b/core/watch/verify.go
@@ -127,7 +127,7 @@
 	w.applyChanges(kind, changes, byCheck)
 	if missed > 0 {
 		w.journal.Record("follow", kind.String(), "changes missed",
-			fmt.Sprintf("%d changes up to revision %d came by a check, the watch is started again", missed, stated))
+			fmt.Sprintf("%d changes up to %s came by a check, the watch is started again", missed, ordinalText(stated)))
 		w.cancelWatch(kind)
 	}
 	return missed
--- a/core/watch/watcher.go
+++ b/core/watch/watcher.go
@@ -76,8 +76,12 @@
 	// unreached is set from a failed ping until the store answers. Removals of servers are held meanwhile and until holdUntil.
 	unreached bool
 	holdUntil time.Time
+	// era is the newest known era of the store. Until rewriteUntil, removals of other kinds are held if only a copy of the store
+	// lacks the object.
+	era          uint64
+	rewriteUntil time.Time
 	// held, late, registrations, evacuated and rollouts are keyed by the name of the object.
-	held          map[string]Object
+	held          [kindCount]map[string]Object
 	late          map[string]lateRegistration
 	removed       removedServers
 	registrations map[string]Registration
@@ -132,7 +136,6 @@
 		cache:         newObjectCache(),
 		stated:        make(chan uint64, 1),
 		changed:       make(chan struct{}),
-		held:          make(map[string]Object),
 		late:          make(map[string]lateRegistration),
 		removed:       make(removedServers),
 		registrations: make(map[string]Registration),
@@ -144,6 +147,9 @@
 		w.publishRollouts()
 	}
 	w.cache.followed = w.kinds
+	for kind := range w.held {
+		w.held[kind] = make(map[string]Object)
+	}
 	return w
 }
 
@@ -184,6 +190,8 @@
 			backoff = minBackoff
 		case errors.Is(err, ErrHistoryGone):
 			w.historyGone(kind, after, err)
+			// Hosts that learn of it at the same time don't list at the same moment.
+			_ = timer.Sleep(ctx, jitter(minBackoff))
 		case ctx.Err() == nil:
 			w.journal.Record("follow", kind.String(), "call failed", err.Error())
 			_ = timer.Sleep(ctx, jitter(backoff))
@@ -255,6 +263,7 @@
 		return
 	}
 	w.cache.revisions[kind] = 0
+	w.cache.accounts = newAccounts()
 	w.journal.Record("follow", kind.String(), "listed anew", cause.Error())
 }
 
@@ -302,10 +311,16 @@
 	if w.unreached {
 		return
 	}
-	if now.After(w.holdUntil) && len(w.held) > 0 {
-		due := slices.Collect(maps.Values(w.held))
-		clear(w.held)
-		w.applyNewer(Servers, due, byRelease)
+	for kind, held := range w.held {
+		until := w.rewriteUntil
+		if Kind(kind) == Servers {
+			until = w.holdUntil
+		}
+		if now.After(until) && len(held) > 0 {
+			due := slices.Collect(maps.Values(held))
+			clear(held)
+			w.applyNewer(Kind(kind), due, byRelease)
+		}
 	}
 	w.releaseLate(now)
 }
--- a/stand/site/objecthandler.go
+++ b/stand/site/objecthandler.go
@@ -35,6 +35,7 @@
 		c.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
+	defer o.stateEra(c)
 	switch o.countCall(c) {
 	case StoreBusy:
 		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
@@ -146,7 +147,7 @@
 }
 
 // watch answers with the events after a revision as soon as there are any, or with none at the end of wait_ms.
-// It answers 410 when the history no longer reaches back to the revision, and 503 when the host is refused meanwhile. A watch
+// It answers 410 when the history no longer reaches back to the revision or the store does not have it, and 503 when the host is refused meanwhile. A watch
 // that begins while CutWatches drops the history returns nothing.
 func (o *ObjectStore) watch(c *fasthttp.RequestCtx, kind string) {
 	after, err := strconv.ParseUint(string(c.QueryArgs().Peek("watch")), 10, 64)
@@ -156,9 +157,9 @@
 		return
 	}
 	deadline := time.Now().Add(time.Duration(wait) * time.Millisecond)
-	cuts, began, deaf := o.cutCount(), time.Now(), false
+	cuts, era, began, deaf := o.cutCount(), o.currentEra(), time.Now(), false
 	for {
-		if o.cutCount() > cuts {
+		if o.cutCount() > cuts || o.currentEra() > era {
 			c.HijackSetNoResponse(true)
 			c.Hijack(func(net.Conn) {})
 			return
@@ -194,7 +195,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.forgetOld(time.Now())
-	if after < o.oldest {
+	if after < o.oldest || after > o.revision {
 		return nil, 0, true
 	}
 	for _, e := range o.history {
--- a/stand/site/objectstore.go
+++ b/stand/site/objectstore.go
@@ -46,7 +46,9 @@
 	// oldest is the earliest revision after which the history is complete.
 	oldest uint64
 	state  StoreState
-	calls  map[string]int
+	// era is the number of times that the store has returned from a copy, and one more.
+	era   uint64
+	calls map[string]int
 	// checkers holds the hosts that have made watches that don't wait, watchers those that have watched the store, refused those that get 503, and stalled the kinds whose watches
 	// return nothing to a host; no kind stands for all.
 	checkers map[string]bool
@@ -108,6 +110,7 @@
 		stalled:  make(map[string][]string),
 		versions: make(map[string]map[string][]version),
 		revision: 1,
+		era:      1,
 	}
 	o.http = &fasthttp.Server{
 		Handler:               o.handle,
@@ -172,6 +175,11 @@
 func (o *ObjectStore) Delete(kind, name string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.remove(kind, name)
+}
+
+// remove is Delete for callers that hold mu.
+func (o *ObjectStore) remove(kind, name string) {
 	stored, ok := o.kinds[kind][name]
 	if !ok {
 		return
