Let the soak's store return from older copies

Change: the fault store_returns: a copy 0.5 to 10 s old, away for 0.1 to 3 s; what the operator and the servers wrote is written again within 2 s.

--- a/stand/soak/fault.go
+++ b/stand/soak/fault.go
@@ -43,6 +43,7 @@
 			return nil
 		}},
 		{name: "store_loses_watches", run: loseWatchAnswers},
+		{name: "store_returns", run: returnStore},
 		{name: "servers_delayed", run: withProxyMode(randomServerProxies, delayBoth)},
 		{name: "servers_deaf", run: withProxyMode(randomServerProxies, dropToServer)},
 		{name: "servers_mute", run: withProxyMode(randomServerProxies, dropFromServer)},
@@ -107,6 +108,17 @@
 	return nil
 }
 
+// returnStore makes the store return from a copy that is 0.5 to 10 s old, after it was away for 0.1 to 3 s. The operator and the servers
+// write again within 2 s.
+func returnStore(ctx context.Context, s *soak, r *rand.Rand) error {
+	copied := s.site.Store.Copy()
+	_ = timer.Sleep(ctx, 500*time.Millisecond+time.Duration(r.IntN(9500))*time.Millisecond)
+	lost := s.site.Store.ReturnFrom(copied, 100*time.Millisecond+time.Duration(r.IntN(2900))*time.Millisecond)
+	_ = timer.Sleep(ctx, time.Duration(r.IntN(2000))*time.Millisecond)
+	s.site.Store.WriteAgain(lost, copied)
+	return nil
+}
+
 // withProxyMode puts proxies into a mode for 1 to 3 s. Unless the mode is delayBoth, it resets their connections at
 // the end, as happens when a failed link comes back.
 func withProxyMode(choose func(*soak, *rand.Rand) []*proxy, mode proxyMode) func(context.Context, *soak, *rand.Rand) error {
