--- a/stand/site/reply.go
+++ b/stand/site/reply.go
@@ -49,6 +49,8 @@
 	EndlessBody
 	// SheddingByChance refuses the request with X-Not-Executed and states that slots are free.
 	SheddingByChance
+	// Restarted breaks the reply off in its body and then sends the whole one on the same connection.
+	Restarted
 	// NoStatus replies with a signature, a body and status 000.
 	NoStatus
 	// CopiedRefusal is SheddingByChance, and sends a whole copy of the refusal once the next request has come on the connection.
@@ -104,6 +106,10 @@
 	case Garbage:
 		_, _ = c.Write([]byte("\x01\x02 no reply\r\n\r\n"))
 		return true
+	case Restarted:
+		text := replyText(id, status, signature, body)
+		_, _ = c.Write([]byte(text[:len(text)-1-rand.IntN(len(body))] + text))
+		return true
 	case NoStatus:
 		text := replyText(id, fasthttp.StatusOK, signature, body)
 		_, _ = c.Write([]byte(strings.Replace(text, "200", "000", 1)))
--- a/stand/site/rules_test.go
+++ b/stand/site/rules_test.go
@@ -32,6 +32,7 @@
 		{name: "lost", fault: NoReply},
 		{name: "shedding", fault: Shedding},
 		{name: "status 000", fault: NoStatus},
+		{name: "broken off and sent again", fault: Restarted},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/stand/soak/fault.go
+++ b/stand/soak/fault.go
@@ -151,7 +151,7 @@
 
 // misbehave makes about half of the servers misbehave in one way, in a fifth of their replies, for 2 s.
 func misbehave(ctx context.Context, s *soak, r *rand.Rand) error {
-	tricks := []site.ReplyFault{site.NoStatus, site.CopiedRefusal}
+	tricks := []site.ReplyFault{site.Restarted, site.NoStatus, site.CopiedRefusal}
 	for trick := site.NoFault + 1; trick <= site.Shedding; trick++ {
 		tricks = append(tricks, trick)
 	}
