Return whole stale lists from a store that has returned

The stand-in forgot the former versions of all objects when it returned from a copy, so that its stale lists, where they are to be old, held only what was written since. Change: the stand-in's stale lists hold the copied objects after a return. Measured: TestStaleReadsAfterAReturnAreWhole fails before and passes after.

--- a/stand/site/return_test.go
+++ b/stand/site/return_test.go
@@ -160,3 +160,22 @@
 		So(after, ShouldBeGreaterThan, 0)
 	})
 }
+
+// TestStaleReadsAfterAReturnAreWhole guards against a stand-in whose stale lists lack what the copy holds, so that hosts that start miss
+// servers which no watch brings.
+func TestStaleReadsAfterAReturnAreWhole(t *testing.T) {
+	Convey("A stale list holds the copied objects", t, func() {
+		store := NewObjectStore()
+		store.Put("servers", "a", 1)
+		store.Put("servers", "b", 1)
+		copied := store.Copy()
+		store.Delete("servers", "a")
+		store.Put("servers", "c", 1)
+		store.ReturnFrom(copied, 0)
+		store.SetStaleReads(10*time.Second, false)
+		objects, revision := store.listed("servers", true)
+		So(objects, ShouldHaveLength, 2)
+		So(objects, ShouldContainKey, "a")
+		So(revision, ShouldEqual, copied.revision)
+	})
+}
--- a/stand/site/storereturn.go
+++ b/stand/site/storereturn.go
@@ -36,6 +36,18 @@
 	return c
 }
 
+// versions returns the copied objects for stale reads, which return no others from the return on, however old their data is.
+func (c StoreCopy) versions() map[string]map[string][]version {
+	versions := make(map[string]map[string][]version, len(c.kinds))
+	for kind, objects := range c.kinds {
+		versions[kind] = make(map[string][]version, len(objects))
+		for name, stored := range objects {
+			versions[kind][name] = []version{{object: stored}}
+		}
+	}
+	return versions
+}
+
 // ReturnFrom makes the store silent for some time and return from a copy: what was acknowledged since is lost, revisions go back and
 // are given out again, waiting watches are cut and the era rises. It returns the state before the return.
 func (o *ObjectStore) ReturnFrom(c StoreCopy, away time.Duration) (lost StoreCopy) {
@@ -49,7 +61,7 @@
 		o.kinds[kind] = maps.Clone(objects)
 	}
 	o.revision, o.oldest, o.history = c.revision, c.revision, nil
-	o.versions = make(map[string]map[string][]version)
+	o.versions = c.versions()
 	o.era++
 	o.state = StoreUp
 	return lost
